--- a/src/main/java/saddlestall/Dispatcher.java
+++ b/src/main/java/saddlestall/Dispatcher.java
@@ -130,7 +130,7 @@
   /** Stops waiting for an attempt. */
   record Cancel(int call, int attempt) implements Action { }
 
-  /** Asks for a {@link Due} after {@code delay}. */
+  /** Asks for a {@link Due} after {@code delay}. A token of 0 or more names a call, and is void once that is over. */
   record Timer(long delay, long token) implements Action { }
 
   record Probe(int worker) implements Action { }
--- a/src/main/java/saddlestall/benchlink/Main.java
+++ b/src/main/java/saddlestall/benchlink/Main.java
@@ -14,7 +14,7 @@
   /** Ends with 0 when the input ends, 1 on a frame that cannot be read, 2 on wrong usage. */
   public static void main(String[] args) {
     if (args.length != 1 || !args[0].equals("benchlink")) {
-      System.err.println("usage: java -jar saddlestall.jar benchlink");
+      System.err.println("usage: java -jar umberrun.jar benchlink");
       System.exit(2);
     }
     try {
--- a/src/main/java/saddlestall/benchlink/SettingsJson.java
+++ b/src/main/java/saddlestall/benchlink/SettingsJson.java
@@ -21,10 +21,10 @@
 import saddlestall.Dispatcher.WeightKind;
 
 /** Reads an instance's settings from the JSON of its start message. Unknown keys are skipped. */
-final class SettingsJson {
+public final class SettingsJson {
   private SettingsJson() { }
 
-  static Settings read(String json) {
+  public static Settings read(String json) {
     JsonObject o = JsonParser.parseString(json).getAsJsonObject();
     List<CallClass> classes = new ArrayList<>();
     for (JsonElement e : array(o, "Classes")) {
--- /dev/null
+++ b/src/main/java/umberrun/Main.java
@@ -0,0 +1,27 @@
+package umberrun;
+
+import java.util.Arrays;
+import umberrun.config.Config;
+import umberrun.config.Config.BadConfig;
+
+/** The command line: {@code serve} is a real front end, {@code benchlink} the same decisions on the simulator's wire. */
+public final class Main {
+  private Main() { }
+
+  /** Ends with 2 on wrong usage or a configuration that can't be served. */
+  public static void main(String[] args) {
+    if (args.length == 1 && args[0].equals("serve")) {
+      try {
+        Server.start(Config.read(System.getenv()));
+      } catch (BadConfig | IllegalArgumentException e) {
+        System.err.println("umberrun: " + e.getMessage());
+        System.exit(2);
+      }
+    } else if (Arrays.equals(args, new String[] {"benchlink"})) {
+      saddlestall.benchlink.Main.main(args);
+    } else {
+      System.err.println("usage: java -jar umberrun.jar serve | benchlink");
+      System.exit(2);
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/umberrun/config/Config.java
@@ -0,0 +1,143 @@
+package umberrun.config;
+
+import com.google.gson.JsonArray;
+import com.google.gson.JsonElement;
+import com.google.gson.JsonObject;
+import com.google.gson.JsonParseException;
+import com.google.gson.JsonParser;
+import io.vertx.core.net.SocketAddress;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import saddlestall.Dispatcher.Settings;
+import saddlestall.benchlink.SettingsJson;
+
+/**
+ * All that a front end is told at its start: by the platform in {@code EDGE_*} variables and the JSON file
+ * that one of them names, and by the operator in a file of ours.
+ *
+ * @param name its name, the same after a restart
+ * @param listen where clients of the platform's protocol connect
+ * @param seed for random numbers, new with each start
+ * @param sockets descriptors that the process may hold
+ * @param changelog where the change log answers, or null where workers come from Consul alone
+ * @param known the change log's events up to now
+ * @param operator the second front's settings, or null while it is off
+ */
+public record Config(String name, SocketAddress listen, long seed, int sockets, SocketAddress changelog,
+    JsonObject known, Settings settings, Names names, OperatorFile operator) {
+
+  /** The names that the settings give to places, in order; the module knows positions only. */
+  public record Names(List<String> classes, List<String> tenants, List<String> zones, List<String> kinds,
+      long idleCloseMillis, int streamsPerConnection, long orderMillis) { }
+
+  /** A configuration that cannot be served; the message is one plain line. */
+  public static final class BadConfig extends Exception {
+    private static final long serialVersionUID = 1;
+
+    public BadConfig(String message) {
+      super(message.replaceAll("\\s+", " "));
+    }
+  }
+
+  private static final int DEFAULT_SOCKETS = 1024;
+
+  /** Reads the variables and the files that they name. */
+  public static Config read(Map<String, String> env) throws BadConfig {
+    String path = env.get("EDGE_CONFIG");
+    if (path == null || path.isEmpty()) {
+      throw new BadConfig("EDGE_CONFIG is not set: it names the configuration file");
+    }
+    try {
+      JsonObject o = json(path);
+      String listen = env.getOrDefault("EDGE_LISTEN", text(o, "listen"));
+      String name = env.getOrDefault("EDGE_NAME", text(o, "name"));
+      JsonObject settings = object(o, "settings");
+      String operator = env.get("UMBERRUN_OPERATOR");
+      String changelog = text(o, "changelog");
+      Names names = names(settings);
+      return new Config(name, address(listen, "listen"), seed(text(o, "seed")), sockets(object(o, "limits")),
+          changelog.isEmpty() ? null : address(changelog, "changelog"), object(o, "known"),
+          SettingsJson.read(settings.toString()), names,
+          operator == null || operator.isEmpty() ? null : OperatorFile.read(json(operator)));
+    } catch (IllegalStateException | NumberFormatException | ClassCastException
+        | UnsupportedOperationException e) { // a field of another type than it should have
+      throw new BadConfig(path + ": " + e.getMessage());
+    }
+  }
+
+  /** Reads an address of the form host:port. */
+  static SocketAddress address(String text, String field) throws BadConfig {
+    int colon = text.lastIndexOf(':');
+    try {
+      int port = Integer.parseInt(text.substring(colon + 1));
+      if (colon > 0 && port >= 0 && port <= 65_535) {
+        return SocketAddress.inetSocketAddress(port, text.substring(0, colon));
+      }
+    } catch (NumberFormatException e) {
+      // said below
+    }
+    throw new BadConfig(field + " is not an address of the form host:port: '" + text + "'");
+  }
+
+  private static JsonObject json(String path) throws BadConfig {
+    try {
+      if (JsonParser.parseString(Files.readString(Path.of(path))) instanceof JsonObject o) {
+        return o;
+      }
+      throw new BadConfig(path + " holds no JSON object");
+    } catch (IOException e) {
+      throw new BadConfig(path + " can't be read: " + e);
+    } catch (JsonParseException e) {
+      throw new BadConfig(path + " is not JSON: " + e.getMessage());
+    }
+  }
+
+  private static Names names(JsonObject s) throws BadConfig {
+    JsonObject limits = object(s, "Limits");
+    Names names = new Names(list(s, "Classes"), list(s, "Tenants"), list(s, "Zones"), list(s, "Kinds"),
+        millis(limits, "IdleClose", 15_000), (int) millis(limits, "StreamsPerConn", 100),
+        millis(object(s, "FamilyInfo"), "OrderLimit", 10_000));
+    if (names.classes.isEmpty() || new HashSet<>(names.classes).size() < names.classes.size()) {
+      throw new BadConfig("settings.Classes must name at least one class, and each but once");
+    }
+    return names;
+  }
+
+  private static List<String> list(JsonObject s, String key) {
+    List<String> names = new ArrayList<>();
+    if (s.get(key) instanceof JsonArray a) {
+      for (JsonElement e : a) {
+        names.add(e instanceof JsonObject o ? text(o, "Name") : e.getAsString());
+      }
+    }
+    return List.copyOf(names);
+  }
+
+  private static long seed(String hex) {
+    return hex.isEmpty() ? System.nanoTime() : Long.parseUnsignedLong(hex, 16);
+  }
+
+  private static int sockets(JsonObject limits) {
+    return (int) millis(limits, "sockets", DEFAULT_SOCKETS);
+  }
+
+  private static long millis(JsonObject o, String key, long otherwise) {
+    JsonElement e = o.get(key);
+    long value = e == null || e.isJsonNull() ? 0 : Math.round(e.getAsDouble());
+    return value > 0 ? value : otherwise;
+  }
+
+  private static JsonObject object(JsonObject o, String key) {
+    return o.get(key) instanceof JsonObject x ? x : new JsonObject();
+  }
+
+  private static String text(JsonObject o, String key) {
+    JsonElement e = o.get(key);
+    return e == null || e.isJsonNull() ? "" : e.getAsString();
+  }
+}
--- /dev/null
+++ b/src/main/java/umberrun/core/Call.java
@@ -0,0 +1,31 @@
+package umberrun.core;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/** A call from the moment it is taken to its one final answer. */
+public final class Call {
+  final int id;
+  final Request request;
+  final Reply reply;
+  final long deadline;
+  final List<Attempt> attempts = new ArrayList<>(1);
+  /** The module's timers of this call and the last guard, cancelled when it is over. */
+  final List<Long> timers = new ArrayList<>(2);
+  /** Whether an attempt may have had its effect: one is out, or ended without proof that it never ran. */
+  boolean mayHaveRun;
+  int out;
+  boolean over;
+
+  Call(int id, Request request, Reply reply, long deadline) {
+    this.id = id;
+    this.request = request;
+    this.reply = reply;
+    this.deadline = deadline;
+  }
+
+  /** Whether the one answer was given, or is no longer owed. */
+  public boolean over() {
+    return over;
+  }
+}
--- /dev/null
+++ b/src/main/java/umberrun/core/Owner.java
@@ -0,0 +1,396 @@
+package umberrun.core;
+
+import io.vertx.core.Context;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import java.util.function.Function;
+import saddlestall.Dispatcher;
+import saddlestall.Dispatcher.Action;
+import saddlestall.Dispatcher.Cancel;
+import saddlestall.Dispatcher.Close;
+import saddlestall.Dispatcher.Code;
+import saddlestall.Dispatcher.Drop;
+import saddlestall.Dispatcher.Due;
+import saddlestall.Dispatcher.Event;
+import saddlestall.Dispatcher.Fail;
+import saddlestall.Dispatcher.Fetch;
+import saddlestall.Dispatcher.Hold;
+import saddlestall.Dispatcher.Left;
+import saddlestall.Dispatcher.ListKind;
+import saddlestall.Dispatcher.Loaded;
+import saddlestall.Dispatcher.Log;
+import saddlestall.Dispatcher.Member;
+import saddlestall.Dispatcher.Members;
+import saddlestall.Dispatcher.Outcome;
+import saddlestall.Dispatcher.Probe;
+import saddlestall.Dispatcher.Probed;
+import saddlestall.Dispatcher.Refuse;
+import saddlestall.Dispatcher.Send;
+import saddlestall.Dispatcher.Settings;
+import saddlestall.Dispatcher.State;
+import saddlestall.Dispatcher.Timer;
+import saddlestall.Dispatcher.Watch;
+import umberrun.core.WorkerPort.Ending;
+import umberrun.stats.Counters;
+import umberrun.stats.Counters.Count;
+
+/**
+ * The one task that owns the decision module. Whatever happens on a socket comes in through {@link #post};
+ * the queue is worked off in order on one Vert.x context, each event is handed to the module with a clock that
+ * never goes back, and the actions it answers with are carried out in the order given.
+ */
+public final class Owner {
+  /** Answers leave this much before the client's time is up: a pause of this machine must not make them late. */
+  private static final long ANSWER_EARLY = 30_000;
+  /** And where the module let the time pass, the guard answers this long before it is up. */
+  private static final long GUARD_EARLY = 10_000;
+  /** Calls in hand, and bytes of their bodies, beyond which a call is refused unseen: the memory is small. */
+  private static final int MOST_CALLS = 4_096;
+  private static final long MOST_BYTES = 12 << 20;
+  /** Spellings of functions kept to write orders with; the module forgets functions sooner. */
+  private static final int MOST_FUNCTIONS = 16_384;
+  private static final long GUARD_BACKOFF_MILLIS = 250;
+
+  private final Vertx vertx;
+  private final Context context;
+  private final Clock clock;
+  private final Counters counters;
+  private final Settings settings;
+  private final Consumer<String> log;
+  private final Dispatcher module;
+  private final WorkerPort workers;
+  private final ArrayDeque<Runnable> queue = new ArrayDeque<>();
+  private final ArrayDeque<Action> actions = new ArrayDeque<>();
+  private final Map<Integer, Call> calls = new HashMap<>();
+  private final Roster roster = new Roster();
+  private final Map<Long, Buffer> functions = new LinkedHashMap<>(64, 0.75f, true) {
+    private static final long serialVersionUID = 1;
+
+    @Override
+    protected boolean removeEldestEntry(Map.Entry<Long, Buffer> eldest) {
+      return size() > MOST_FUNCTIONS;
+    }
+  };
+  private long bytesInHand;
+  private int nextCall = 1;
+  private boolean scheduled;
+  private Runnable whenIdle;
+
+  /**
+   * @param module makes the module, given where its first actions go
+   * @param workers makes the way to the workers, given this owner
+   */
+  public Owner(Vertx vertx, Context context, Clock clock, Counters counters, Settings settings,
+      Consumer<String> log, Function<Consumer<Action>, Dispatcher> module, Function<Owner, WorkerPort> workers) {
+    this.vertx = vertx;
+    this.context = context;
+    this.clock = clock;
+    this.counters = counters;
+    this.settings = settings;
+    this.log = log;
+    this.workers = workers.apply(this);
+    this.module = module.apply(actions::add);
+    post(this::carryOut);
+  }
+
+  public Settings settings() {
+    return settings;
+  }
+
+  // ---------------------------------------------------------------- the queue
+
+  /** Queues a step; callable on the context's thread only, as all sockets live there. */
+  public void post(Runnable step) {
+    queue.add(step);
+    if (!scheduled) {
+      scheduled = true;
+      context.runOnContext(v -> work());
+    }
+  }
+
+  private void work() {
+    scheduled = false;
+    for (int n = queue.size(); n > 0; n--) { // what is queued meanwhile waits, so that sockets get their turn
+      try {
+        queue.poll().run();
+      } catch (RuntimeException e) { // guards against a fault in one step ending all calls
+        counters.add(Count.MODULE_FAULTS);
+        log.accept("fault: " + e + " at " + (e.getStackTrace().length > 0 ? e.getStackTrace()[0] : "?"));
+      }
+    }
+    if (!queue.isEmpty() && !scheduled) {
+      scheduled = true;
+      context.runOnContext(v -> work());
+    }
+  }
+
+  private void tell(Event event) {
+    try {
+      module.handle(clock.now(), event, actions::add);
+    } finally {
+      carryOut();
+    }
+  }
+
+  private void carryOut() {
+    for (Action a; (a = actions.poll()) != null;) {
+      carryOut(a);
+    }
+  }
+
+  private void carryOut(Action action) {
+    if (action instanceof Send a) {
+      send(a);
+    } else if (action instanceof Refuse a) {
+      refuse(calls.get(a.call()), a.retryAfter() / 1_000);
+    } else if (action instanceof Fail a) {
+      fail(calls.get(a.call()));
+    } else if (action instanceof Timer a) {
+      startTimer(a);
+    } else if (action instanceof Hold a) {
+      counters.add(Count.ORDERS_SENT);
+      workers.hold(new Order(this, a.worker(), a.function(), spelling(a.function()), a.copies(), clock.now()));
+    } else if (action instanceof Drop a) {
+      workers.free(a.worker(), spelling(a.function()));
+    } else if (action instanceof Cancel a) {
+      cancel(calls.get(a.call()), a.attempt());
+    } else if (action instanceof Probe a) {
+      counters.add(Count.PROBES_SENT);
+      workers.probe(new Probing(this, a.worker(), clock.now()));
+    } else if (action instanceof Close a) {
+      workers.closeIdle(a.worker());
+    } else if (action instanceof Log a) {
+      log.accept(a.text());
+    } else if (action instanceof Fetch || action instanceof Watch w && w.on()) {
+      post(this::tellWholeList);
+    } // Tell: front ends can't reach each other here
+  }
+
+  // ---------------------------------------------------------------- calls
+
+  /** Takes a call; its answer goes to {@code reply}. */
+  public Call take(Request request, Reply reply) {
+    long now = clock.now();
+    Call call = new Call(nextCall++, request, reply, now + Math.max(1, request.patience()));
+    counters.add(Count.CALLS_TAKEN);
+    post(() -> begin(call));
+    return call;
+  }
+
+  /** The client no longer waits for an answer. */
+  public void leave(Call call) {
+    post(() -> {
+      if (!call.over) {
+        counters.add(Count.CALLS_LEFT);
+        finish(call);
+        if (calls.containsKey(call.id)) {
+          tell(new Left(call.id));
+        }
+        release(call);
+      }
+    });
+  }
+
+  private void begin(Call call) {
+    if (call.over) { // left while it was queued
+      return;
+    }
+    Request r = call.request;
+    if (calls.size() >= MOST_CALLS || bytesInHand + r.body().length() > MOST_BYTES) {
+      refuse(call, GUARD_BACKOFF_MILLIS);
+      return;
+    }
+    calls.put(call.id, call);
+    bytesInHand += r.body().length();
+    functions.put(r.function(), r.functionBytes());
+    long left = call.deadline - clock.now();
+    call.timers.add(vertx.setTimer(Math.max(1, (left - GUARD_EARLY) / 1_000), t -> post(() -> guard(call))));
+    tell(new Dispatcher.Call(call.id, Math.max(1_000, left - ANSWER_EARLY), 0, r.function(), r.figures().lanes(),
+        r.figures().memoryMb(), r.callClass(), r.tenant(), r.repeat(), false, r.figures().loadTime()));
+  }
+
+  /** Guards against a call that the module leaves without an answer. */
+  private void guard(Call call) {
+    if (!call.over) {
+      counters.add(Count.CALLS_GUARDED);
+      fail(call);
+      tell(new Left(call.id));
+    }
+  }
+
+  private void refuse(Call call, long backoffMillis) {
+    if (call != null && !call.over) {
+      boolean safe = settings.classes().get(call.request.callClass()).effect() == Dispatcher.Effect.SAFE;
+      if (!safe && (call.mayHaveRun || call.out > 0)) { // guards rule 2: 'try again' only where that is harmless
+        fail(call);
+        return;
+      }
+      counters.add(Count.CALLS_REFUSED);
+      finish(call);
+      call.reply.refused(backoffMillis);
+      release(call);
+    }
+  }
+
+  private void fail(Call call) {
+    if (call != null && !call.over) {
+      counters.add(Count.CALLS_FAILED);
+      finish(call);
+      call.reply.failed(clock.now() >= call.deadline - 2 * ANSWER_EARLY);
+      release(call);
+    }
+  }
+
+  private void finish(Call call) {
+    call.over = true;
+    call.timers.forEach(vertx::cancelTimer);
+    call.timers.clear();
+  }
+
+  /** Lets go of a call that is over once no attempt is out. */
+  private void release(Call call) {
+    if (call.over && call.out == 0 && calls.remove(call.id) != null) {
+      bytesInHand -= call.request.body().length();
+      if (calls.isEmpty() && whenIdle != null) {
+        whenIdle.run();
+      }
+    }
+  }
+
+  /** Calls that are owed an answer. */
+  public int owed() {
+    return (int) calls.values().stream().filter(c -> !c.over).count();
+  }
+
+  // ---------------------------------------------------------------- attempts
+
+  private void send(Send a) {
+    Call call = calls.get(a.call());
+    long now = clock.now();
+    if (call == null || call.over) { // guards rule 1: never a send for a call that has its answer
+      post(() -> tell(new Outcome(a.call(), call == null ? 0 : call.attempts.size(), a.worker(), Code.MOOT, 0, true,
+          Dispatcher.Note.NONE, -1, null)));
+      return;
+    }
+    long last = call.deadline - ANSWER_EARLY;
+    long until = a.timeout() == 0 ? last : Math.min(last, now + a.timeout());
+    Attempt attempt = new Attempt(this, call, call.attempts.size(), a.worker(), now, until);
+    call.attempts.add(attempt);
+    call.out++;
+    counters.add(Count.ATTEMPTS_SENT);
+    workers.run(attempt);
+  }
+
+  private void cancel(Call call, int index) {
+    if (call != null && index < call.attempts.size()) {
+      workers.stop(call.attempts.get(index));
+    }
+  }
+
+  void ended(Attempt attempt, Ending e) {
+    Call call = attempt.call;
+    call.out--;
+    call.mayHaveRun |= !e.code().notRun;
+    counters.add(Count.valueOf("ATTEMPTS_" + e.code()));
+    if (e.code() == Code.OK && !call.over) {
+      counters.add(Count.CALLS_SERVED);
+      finish(call);
+      call.reply.served(e.body());
+    }
+    try {
+      tell(new Outcome(call.id, attempt.index, attempt.worker(), e.code(), clock.now() - attempt.sentAt, call.over,
+          e.note(), e.crowd(), e.report()));
+    } finally {
+      release(call);
+    }
+  }
+
+  // ---------------------------------------------------------------- orders, probes, timers
+
+  void loaded(Order o, Code code, int standing) {
+    tell(new Loaded(clock.now() - o.givenAt, standing, o.worker(), code, o.function));
+  }
+
+  void probed(Probing p, Code code, float[] report) {
+    tell(new Probed(clock.now() - p.askedAt, p.worker(), code, report));
+  }
+
+  private Buffer spelling(long function) {
+    Buffer known = functions.get(function);
+    return known != null ? known : Buffer.buffer(String.format("%016x", function));
+  }
+
+  private void startTimer(Timer a) {
+    Call call = a.token() >= 0 ? calls.get((int) a.token()) : null;
+    if (a.token() >= 0 && (call == null || call.over)) {
+      return;
+    }
+    // Rounded up: the module looks at the clock again, and a timer that is early by a fraction finds nothing due.
+    long id = vertx.setTimer(Math.max(1, (a.delay() + 999) / 1_000), t -> post(() -> tell(new Due(a.token()))));
+    if (call != null) {
+      call.timers.add(id);
+    }
+  }
+
+  // ---------------------------------------------------------------- the list of workers
+
+  /** Takes news of the list: changes, or the whole of it, in which what is missing is gone. */
+  public void list(ListKind kind, List<Endpoint> endpoints) {
+    post(() -> {
+      counters.add(Count.LIST_CHANGES);
+      long now = clock.now();
+      List<Member> members = new ArrayList<>();
+      List<Roster.Entry> missing = new ArrayList<>();
+      if (kind != ListKind.DELTA) {
+        roster.all().forEach(missing::add);
+      }
+      for (Endpoint e : endpoints) {
+        missing.removeIf(m -> m.endpoint().name().equals(e.name()));
+        take(e, now, members);
+      }
+      for (Roster.Entry m : missing) {
+        Endpoint e = m.endpoint();
+        take(new Endpoint(e.name(), e.host(), e.port(), e.zone(), e.kind(), e.cell(), State.GONE, e.weight(),
+            e.since()), now, members);
+      }
+      tell(new Members(kind, members));
+    });
+  }
+
+  private void take(Endpoint e, long now, List<Member> members) {
+    Roster.Entry entry = roster.tell(e, now);
+    members.add(member(entry));
+    workers.update(entry.id(), e, entry.toldAt());
+    if (e.state() == State.GONE) {
+      roster.forget(entry);
+    }
+  }
+
+  private void tellWholeList() {
+    List<Member> members = new ArrayList<>();
+    roster.all().forEach(e -> members.add(member(e)));
+    tell(new Members(ListKind.FULL, members));
+  }
+
+  private static Member member(Roster.Entry entry) {
+    Endpoint e = entry.endpoint();
+    return new Member(entry.id(), e.zone(), e.kind(), e.cell(), e.state(), e.weight(), e.since());
+  }
+
+  /** Runs {@code action} once no call is in hand: at once, or when the last one is over. */
+  public void whenIdle(Runnable action) {
+    post(() -> {
+      whenIdle = action;
+      if (calls.isEmpty()) {
+        action.run();
+      }
+    });
+  }
+}
--- /dev/null
+++ b/src/main/java/umberrun/core/Roster.java
@@ -0,0 +1,46 @@
+package umberrun.core;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.zip.CRC32;
+import java.nio.charset.StandardCharsets;
+import saddlestall.Dispatcher.State;
+
+/** The table of workers: the number that the module knows each by, and what was last told of it. */
+final class Roster {
+  /** A worker as last told; {@code toldAt} is when it was first told to drain or be gone, 0 while ready. */
+  record Entry(int id, Endpoint endpoint, long toldAt) { }
+
+  private final Map<String, Entry> byName = new HashMap<>();
+  private final Map<Integer, String> names = new HashMap<>();
+
+  /** Takes in one line of the list. */
+  Entry tell(Endpoint e, long now) {
+    Entry before = byName.get(e.name());
+    long toldAt = e.state() == State.READY ? 0 : before == null || before.toldAt == 0 ? now : before.toldAt;
+    Entry after = new Entry(before == null ? number(e.name()) : before.id, e, toldAt);
+    byName.put(e.name(), after);
+    return after;
+  }
+
+  Iterable<Entry> all() {
+    return byName.values();
+  }
+
+  /** Lets go of one that is gone, as names never come back with the same number by chance alone. */
+  void forget(Entry gone) {
+    byName.remove(gone.endpoint.name());
+    names.remove(gone.id);
+  }
+
+  /** A hash of the name, since front ends that share nothing must place functions alike. */
+  private int number(String name) {
+    CRC32 crc = new CRC32();
+    crc.update(name.getBytes(StandardCharsets.UTF_8));
+    int id = (int) crc.getValue();
+    while (names.putIfAbsent(id, name) != null) { // guards against two names with one hash
+      id++;
+    }
+    return id;
+  }
+}
--- /dev/null
+++ b/src/main/java/umberrun/core/WorkerPort.java
@@ -0,0 +1,31 @@
+package umberrun.core;
+
+import saddlestall.Dispatcher.Code;
+import saddlestall.Dispatcher.Note;
+import io.vertx.core.buffer.Buffer;
+
+/** The way to the workers. Each thing handed over ends once, through the owner's queue. */
+public interface WorkerPort {
+  /** News of a worker; {@code toldAt} is when it was first told to drain or be gone, 0 while it is ready. */
+  void update(int worker, Endpoint endpoint, long toldAt);
+
+  void run(Attempt attempt);
+
+  void stop(Attempt attempt);
+
+  void hold(Order order);
+
+  void probe(Probing probing);
+
+  /** Unloads a function's idle copies; nothing is heard of it. */
+  void free(int worker, Buffer function);
+
+  void closeIdle(int worker);
+
+  /** How an attempt ended: {@code crowd} is -1 where it was not told, {@code body} null unless served. */
+  record Ending(Code code, Note note, int crowd, float[] report, Buffer body) {
+    public static Ending of(Code code) {
+      return new Ending(code, Note.NONE, -1, null, null);
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/umberrun/front/rpc/RpcConnection.java
@@ -0,0 +1,124 @@
+package umberrun.front.rpc;
+
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.net.NetSocket;
+import java.util.HashMap;
+import java.util.Map;
+import umberrun.core.Call;
+import umberrun.core.Reply;
+import umberrun.front.CallFields.BadField;
+import umberrun.stats.Counters.Count;
+
+/** One client's connection: its open requests, and their answers in whatever order they come. */
+final class RpcConnection {
+  private static final int MOST_OPEN = 32;
+  private static final int QUEUE_BYTES = 64 << 10;
+  private static final long CROWDED_BACKOFF_MILLIS = 100;
+
+  private final RpcFront front;
+  private final NetSocket socket;
+  private final RpcDecoder decoder = new RpcDecoder(this::message);
+  private final Map<Long, Call> open = new HashMap<>();
+  private boolean closed;
+
+  RpcConnection(RpcFront front, NetSocket socket) {
+    this.front = front;
+    this.socket = socket;
+    socket.setWriteQueueMaxSize(QUEUE_BYTES);
+    socket.handler(this::read);
+    socket.closeHandler(v -> close());
+    socket.exceptionHandler(e -> close());
+    socket.drainHandler(v -> socket.resume());
+  }
+
+  private void read(Buffer piece) {
+    if (closed) {
+      return;
+    }
+    try {
+      decoder.feed(piece);
+    } catch (RpcDecoder.Unreadable e) { // guards the other connections: only this one ends
+      front.counters().add(Count.BAD_REQUESTS);
+      close();
+    }
+  }
+
+  private void message(RpcMessage message) {
+    if (closed) {
+      return;
+    }
+    if (message instanceof RpcMessage.Request r) {
+      request(r);
+    } else if (message instanceof RpcMessage.Notification n && n.method().equals("revoke")) {
+      for (long id : n.ids()) {
+        Call call = open.remove(id);
+        if (call != null) { // one that is unknown or answered is ignored
+          front.owner().leave(call);
+        }
+      }
+    }
+  }
+
+  private void request(RpcMessage.Request r) {
+    if (open.containsKey(r.id())) { // guards against two answers under one id
+      front.counters().add(Count.BAD_REQUESTS);
+      close();
+    } else if (r.method().equals("heartbeat")) {
+      write(RpcEncoder.heartbeat(r.id(), front.isFit()));
+    } else if (open.size() >= MOST_OPEN) {
+      write(RpcEncoder.refused(r.id(), CROWDED_BACKOFF_MILLIS));
+    } else {
+      try {
+        open.put(r.id(), front.owner().take(front.request(r), reply(r.id())));
+      } catch (BadField e) {
+        front.counters().add(Count.BAD_REQUESTS);
+        write(RpcEncoder.failed(r.id(), "Invalid", e.getMessage()));
+      }
+    }
+  }
+
+  private Reply reply(long id) {
+    return new Reply() {
+      @Override
+      public void served(Buffer body) {
+        answer(id, RpcEncoder.served(id, body));
+      }
+
+      @Override
+      public void refused(long backoffMillis) {
+        answer(id, RpcEncoder.refused(id, backoffMillis));
+      }
+
+      @Override
+      public void failed(boolean overdue) {
+        answer(id, RpcEncoder.failed(id, "Failed", overdue ? "its time is up" : "not served"));
+      }
+    };
+  }
+
+  private void answer(long id, Buffer message) {
+    if (open.remove(id) != null) { // guards against an answer after a revoke
+      write(message);
+    }
+  }
+
+  /** Nothing more is read while the client does not take its answers, so that they can't pile up here. */
+  private void write(Buffer message) {
+    if (!closed) {
+      socket.write(message);
+      if (socket.writeQueueFull()) {
+        socket.pause();
+      }
+    }
+  }
+
+  private void close() {
+    if (!closed) {
+      closed = true;
+      socket.close();
+      open.values().forEach(front.owner()::leave);
+      open.clear();
+      front.closed(this);
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/umberrun/front/rpc/RpcFront.java
@@ -0,0 +1,121 @@
+package umberrun.front.rpc;
+
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.net.NetServer;
+import io.vertx.core.net.NetServerOptions;
+import io.vertx.core.net.NetSocket;
+import io.vertx.core.net.SocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import umberrun.config.Config.Names;
+import umberrun.core.Owner;
+import umberrun.core.Request;
+import umberrun.front.CallFields;
+import umberrun.front.CallFields.BadField;
+import umberrun.stats.Counters;
+import umberrun.stats.Counters.Count;
+
+/** The platform's protocol, MessagePack-RPC over TCP: decodes a call, hands it on, encodes its one answer. */
+public final class RpcFront {
+  private static final int IDLE_SECONDS = 60;
+  private static final int BACKLOG = 1_024;
+  private static final double MOST_BUDGET_MILLIS = 600_000;
+
+  private final NetServer server;
+  private final Owner owner;
+  private final Counters counters;
+  private final Names names;
+  private final int mostConnections;
+  private final Set<RpcConnection> connections = new HashSet<>();
+  private boolean fit;
+
+  public RpcFront(Vertx vertx, Owner owner, Counters counters, Names names, int sockets) {
+    this.owner = owner;
+    this.counters = counters;
+    this.names = names;
+    this.mostConnections = sockets / 2;
+    this.server = vertx.createNetServer(new NetServerOptions().setTcpNoDelay(true).setAcceptBacklog(BACKLOG)
+        .setReuseAddress(true).setIdleTimeout(IDLE_SECONDS));
+    server.connectHandler(this::accept);
+  }
+
+  /** Listens; the port that it got, where any would do. */
+  public Future<Integer> listen(SocketAddress address) {
+    return server.listen(address).map(NetServer::actualPort);
+  }
+
+  /** Whether heartbeats are answered with true. */
+  public void setFit(boolean fit) {
+    this.fit = fit;
+  }
+
+  boolean isFit() {
+    return fit;
+  }
+
+  Owner owner() {
+    return owner;
+  }
+
+  Counters counters() {
+    return counters;
+  }
+
+  private void accept(NetSocket socket) {
+    if (connections.size() >= mostConnections) { // guards the descriptors that the workers' links need
+      socket.close();
+      return;
+    }
+    counters.add(Count.CLIENT_CONNECTIONS);
+    connections.add(new RpcConnection(this, socket));
+  }
+
+  void closed(RpcConnection connection) {
+    connections.remove(connection);
+  }
+
+  /** The call in a request, of which the method is the class. */
+  Request request(RpcMessage.Request r) throws BadField {
+    Map<String, String> f = r.fields();
+    if (f == null) {
+      throw new BadField("parameters must be a map of strings to strings and a body");
+    }
+    if (r.body() == null) {
+      throw new BadField("the body is longer than " + CallFields.MOST_BODY + " bytes");
+    }
+    int callClass = names.classes().indexOf(r.method());
+    if (callClass < 0) {
+      throw new BadField("unknown class");
+    }
+    CallFields.hex("rid", f.get("rid"));
+    long function = CallFields.hex("obj", f.get("obj"));
+    Buffer key = CallFields.key(f.get("token"));
+    CallFields.requireKey(owner.settings(), callClass, key);
+    int tenant = names.tenants().indexOf(f.getOrDefault("acct", ""));
+    if (tenant < 0 && !names.tenants().isEmpty()) {
+      throw new BadField("unknown tenant");
+    }
+    return new Request(latin(f.get("rid")), callClass, Math.max(0, tenant), latin(f.get("obj")), function, key,
+        budget(f.get("budget")), "1".equals(f.get("again")), CallFields.figures(f.get("info")), r.body());
+  }
+
+  private static Buffer latin(String text) {
+    return Buffer.buffer(text, StandardCharsets.ISO_8859_1.name());
+  }
+
+  private static long budget(String text) throws BadField {
+    try {
+      double millis = Double.parseDouble(text == null ? "" : text);
+      if (millis > 0 && millis <= MOST_BUDGET_MILLIS) {
+        return (long) (millis * 1_000);
+      }
+    } catch (NumberFormatException e) {
+      // said below
+    }
+    throw new BadField("budget must be a number of milliseconds");
+  }
+}
--- /dev/null
+++ b/src/main/java/umberrun/stats/Counters.java
@@ -0,0 +1,45 @@
+package umberrun.stats;
+
+import java.util.EnumMap;
+import java.util.Locale;
+import java.util.Map;
+
+/** What the front end has taken in, sent and answered. Counted on the owner's thread, read from any. */
+public final class Counters {
+  /** One thing counted each. */
+  public enum Count {
+    CALLS_TAKEN, CALLS_SERVED, CALLS_REFUSED, CALLS_FAILED, CALLS_LEFT, CALLS_GUARDED, BAD_REQUESTS,
+    ATTEMPTS_SENT, ATTEMPTS_OK, ATTEMPTS_MISS, ATTEMPTS_FULL, ATTEMPTS_ERROR, ATTEMPTS_TIMEOUT, ATTEMPTS_RESET,
+    ATTEMPTS_CONNECT_FAILED, ATTEMPTS_MOOT, ATTEMPTS_CANCELLED, ORDERS_SENT, PROBES_SENT, LATE_ANSWERS,
+    CLIENT_CONNECTIONS, WORKER_CONNECTIONS, LIST_CHANGES, POLLS_LOST, MODULE_FAULTS,
+    DEFERRED_TAKEN, DEFERRED_JOINED, DEFERRED_TURNED_AWAY
+  }
+
+  private final long[] counts = new long[Count.values().length];
+
+  public void add(Count count) {
+    counts[count.ordinal()]++;
+  }
+
+  public long get(Count count) {
+    return counts[count.ordinal()];
+  }
+
+  /** A copy by the names that are printed. */
+  public Map<String, Long> snapshot() {
+    Map<Count, Long> byCount = new EnumMap<>(Count.class);
+    for (Count c : Count.values()) {
+      byCount.put(c, get(c));
+    }
+    Map<String, Long> named = new java.util.LinkedHashMap<>();
+    byCount.forEach((c, n) -> named.put(c.name().toLowerCase(Locale.ROOT), n));
+    return named;
+  }
+
+  /** One line for the log: all that is not nought. */
+  public String line() {
+    StringBuilder text = new StringBuilder("counters");
+    snapshot().forEach((name, n) -> text.append(n == 0 ? "" : " " + name + "=" + n));
+    return text.toString();
+  }
+}
--- /dev/null
+++ b/src/main/java/umberrun/worker/Exchange.java
@@ -0,0 +1,44 @@
+package umberrun.worker;
+
+import io.vertx.core.buffer.Buffer;
+import java.util.List;
+import saddlestall.Dispatcher.Code;
+
+/** A command to a worker and the wait for its answer. Ends once: answered, lost, or its time up. */
+abstract class Exchange {
+  /** The id under which the answer comes. */
+  final Buffer id;
+  final long deadline;
+  boolean written;
+  long writtenAt;
+  long timer = -1;
+
+  Exchange(Buffer id, long deadline) {
+    this.id = id;
+    this.deadline = deadline;
+  }
+
+  /** The command as it goes out now. */
+  abstract Buffer command(long now);
+
+  /** Whether the drain rule holds for it. */
+  boolean isNewWork() {
+    return false;
+  }
+
+  /** Whether it is over as soon as it is written, since no answer comes. */
+  boolean isOneWay() {
+    return false;
+  }
+
+  /** What tells the worker that nobody waits any more, or null. */
+  Buffer withdrawal() {
+    return null;
+  }
+
+  /** The answer: a word, fields and a body, behind the id. */
+  abstract void answered(List<Buffer> parts);
+
+  /** No answer will come. */
+  abstract void lost(Code code);
+}
--- /dev/null
+++ b/src/main/java/umberrun/worker/Link.java
@@ -0,0 +1,225 @@
+package umberrun.worker;
+
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.net.NetSocket;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import saddlestall.Dispatcher.Code;
+import umberrun.core.Clock;
+
+/** One connection to a worker: what is out on it, and what waits to be written. */
+final class Link {
+  /** Who a link belongs to. */
+  interface Home {
+    /** Whether new work may still be written: false soon after the worker was told to drain or be gone. */
+    boolean mayStart(long now);
+
+    void closed(Link link);
+  }
+
+  private static final int QUEUE_BYTES = 64 << 10;
+  private static final int MOST_STALE = 256;
+
+  private final Vertx vertx;
+  private final Clock clock;
+  private final Home home;
+  private final long idleMillis;
+  private final Map<Buffer, Exchange> out = new HashMap<>();
+  private final ArrayDeque<Exchange> waiting = new ArrayDeque<>();
+  /** Ids given up here whose answer may still come: no other attempt of theirs may use this connection. */
+  private final Set<Buffer> stale = new HashSet<>();
+  private NetSocket socket;
+  private long heardAt;
+  private long idleTimer = -1;
+  private boolean retired;
+  private boolean closed;
+
+  Link(Vertx vertx, Clock clock, Home home, long idleMillis) {
+    this.vertx = vertx;
+    this.clock = clock;
+    this.home = home;
+    this.idleMillis = idleMillis;
+  }
+
+  /** Takes the connection once it is up. */
+  void opened(NetSocket s) {
+    if (closed) {
+      s.close();
+      return;
+    }
+    socket = s;
+    heardAt = clock.now();
+    s.setWriteQueueMaxSize(QUEUE_BYTES);
+    s.handler(new RespParser(this::answer, this::close));
+    s.closeHandler(v -> close());
+    s.exceptionHandler(e -> close());
+    s.drainHandler(v -> flush());
+    flush();
+    watchIdle();
+  }
+
+  /** The connection never came up: nothing that waits for it has run. */
+  void refused() {
+    end(Code.CONNECT_FAILED);
+  }
+
+  int load() {
+    return out.size() + waiting.size();
+  }
+
+  boolean accepts(Exchange x, int most) {
+    return !closed && !retired && load() < most && !out.containsKey(x.id) && !stale.contains(x.id)
+        && waiting.stream().noneMatch(w -> w.id.equals(x.id));
+  }
+
+  void submit(Exchange x) {
+    long now = clock.now();
+    cancelIdle();
+    x.timer = vertx.setTimer(Math.max(1, (x.deadline - now + 999) / 1_000), t -> expired(x));
+    waiting.add(x);
+    flush();
+  }
+
+  /** Gives an exchange up before its time. */
+  boolean withdraw(Buffer id, Code code) {
+    Exchange x = out.get(id);
+    if (x == null) {
+      x = waiting.stream().filter(w -> w.id.equals(id)).findFirst().orElse(null);
+    }
+    if (x != null) {
+      giveUp(x, code);
+    }
+    return x != null;
+  }
+
+  /** Takes nothing new, and closes once all that is out has ended. */
+  void retire() {
+    retired = true;
+    closeIfIdle();
+  }
+
+  void closeIfIdle() {
+    if (load() == 0) {
+      close();
+    }
+  }
+
+  /** Whether bytes handed to the connection have not left this process yet. */
+  boolean isStuck() {
+    return socket != null && socket.writeQueueFull();
+  }
+
+  void close() {
+    end(Code.RESET);
+  }
+
+  private void flush() {
+    while (socket != null && !closed && !waiting.isEmpty() && !socket.writeQueueFull()) {
+      Exchange x = waiting.poll();
+      long now = clock.now();
+      if (x.isNewWork() && !home.mayStart(now)) { // guards rule 3: what was queued before the worker drained
+        drop(x);
+        x.lost(Code.MOOT);
+        continue;
+      }
+      socket.write(x.command(now));
+      if (x.isOneWay()) {
+        drop(x);
+        continue;
+      }
+      x.written = true;
+      x.writtenAt = now;
+      out.put(x.id, x);
+    }
+  }
+
+  private void expired(Exchange x) {
+    x.timer = -1;
+    boolean silent = x.written && heardAt < x.writtenAt;
+    giveUp(x, Code.TIMEOUT);
+    if (silent) { // guards against a machine that is cut off: its connections stay open and say nothing
+      retire();
+    }
+  }
+
+  private void giveUp(Exchange x, Code code) {
+    boolean written = out.remove(x.id) != null;
+    waiting.remove(x);
+    drop(x);
+    if (written && !closed) {
+      stale.add(x.id);
+      retired |= stale.size() > MOST_STALE; // guards the memory: a worker that answers nothing
+      if (x.withdrawal() != null) {
+        socket.write(x.withdrawal());
+      }
+    }
+    x.lost(written ? code : Code.MOOT);
+    watchIdle();
+  }
+
+  private void answer(List<Buffer> parts) {
+    heardAt = clock.now();
+    Exchange x = out.remove(parts.get(0));
+    if (x == null) {
+      stale.remove(parts.get(0)); // the late answer of one that was given up
+      return;
+    }
+    drop(x);
+    x.answered(parts);
+    watchIdle();
+    if (retired) {
+      closeIfIdle();
+    }
+  }
+
+  private void end(Code code) {
+    if (closed) {
+      return;
+    }
+    closed = true;
+    cancelIdle();
+    if (socket != null) {
+      socket.close();
+    }
+    List<Exchange> sent = new ArrayList<>(out.values());
+    List<Exchange> unsent = new ArrayList<>(waiting);
+    out.clear();
+    waiting.clear();
+    sent.forEach(x -> lose(x, code));
+    unsent.forEach(x -> lose(x, Code.CONNECT_FAILED)); // never written, so it never ran
+    home.closed(this);
+  }
+
+  private void lose(Exchange x, Code code) {
+    drop(x);
+    x.lost(code);
+  }
+
+  private void drop(Exchange x) {
+    if (x.timer >= 0) {
+      vertx.cancelTimer(x.timer);
+      x.timer = -1;
+    }
+  }
+
+  /** Closes before the worker would: a command that crosses its close would count as one that may have run. */
+  private void watchIdle() {
+    if (load() == 0 && !closed && socket != null) {
+      cancelIdle();
+      idleTimer = vertx.setTimer(idleMillis, t -> close());
+    }
+  }
+
+  private void cancelIdle() {
+    if (idleTimer >= 0) {
+      vertx.cancelTimer(idleTimer);
+      idleTimer = -1;
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/umberrun/worker/WorkerPool.java
@@ -0,0 +1,287 @@
+package umberrun.worker;
+
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.net.NetClient;
+import io.vertx.core.net.NetClientOptions;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import saddlestall.Dispatcher.Code;
+import saddlestall.Dispatcher.Settings;
+import saddlestall.Dispatcher.State;
+import umberrun.config.Config.Names;
+import umberrun.core.Attempt;
+import umberrun.core.Clock;
+import umberrun.core.Endpoint;
+import umberrun.core.Order;
+import umberrun.core.Probing;
+import umberrun.core.WorkerPort;
+import umberrun.stats.Counters;
+import umberrun.stats.Counters.Count;
+
+/** The connections to all workers, and the commands that travel on them. */
+public final class WorkerPool implements WorkerPort {
+  private static final int MOST_LINKS_EACH = 8;
+  /** Part of the drain grace left unused: the way to the worker takes time, and a pause of ours must not matter. */
+  private static final long DRAIN_EARLY = 200_000;
+  private static final long PROBE_MICROS = 500_000;
+  private static final double IDLE_PART = 0.8;
+  private static final Buffer RUN = Buffer.buffer("RUN");
+  private static final Buffer STOP = Buffer.buffer("STOP");
+  private static final Buffer HOLD = Buffer.buffer("HOLD");
+  private static final Buffer INFO = Buffer.buffer("INFO");
+  private static final Buffer FREE = Buffer.buffer("FREE");
+
+  private final Vertx vertx;
+  private final NetClient client;
+  private final Clock clock;
+  private final Counters counters;
+  private final Settings settings;
+  private final Names names;
+  private final int mostLinks;
+  private final Map<Integer, Worker> workers = new HashMap<>();
+  private int links;
+  private long tag;
+
+  public WorkerPool(Vertx vertx, Clock clock, Counters counters, Settings settings, Names names, int sockets) {
+    this.vertx = vertx;
+    this.clock = clock;
+    this.counters = counters;
+    this.settings = settings;
+    this.names = names;
+    this.mostLinks = sockets / 4;
+    this.client = vertx.createNetClient(new NetClientOptions().setTcpNoDelay(true)
+        .setConnectTimeout((int) Math.max(1, settings.limits().connectTimeout() / 1_000)));
+  }
+
+  /** One worker's address and connections. */
+  private final class Worker implements Link.Home {
+    private Endpoint endpoint;
+    private long toldAt;
+    private final List<Link> open = new ArrayList<>();
+
+    /** A worker that restarted or moved gets new connections; the old ones may be dead without saying so. */
+    void update(Endpoint e, long told) {
+      boolean moved = endpoint != null && (endpoint.since() != e.since() || endpoint.port() != e.port()
+          || !endpoint.host().equals(e.host()));
+      boolean ended = told > 0 && toldAt == 0;
+      endpoint = e;
+      toldAt = told;
+      if (moved || e.state() == State.GONE) {
+        List.copyOf(open).forEach(Link::retire);
+      }
+      if (ended) {
+        vertx.setTimer((graceEnd() - clock.now()) / 1_000 + 1, t -> closeStuck());
+      }
+    }
+
+    private long graceEnd() {
+      return toldAt + Math.max(0, settings.rules().drainGrace() - DRAIN_EARLY);
+    }
+
+    @Override
+    public boolean mayStart(long now) {
+      return toldAt == 0 || now < graceEnd();
+    }
+
+    /** Guards rule 3 against bytes that still wait in a full connection when the grace is over. */
+    private void closeStuck() {
+      if (toldAt > 0) {
+        List.copyOf(open).stream().filter(Link::isStuck).forEach(Link::close);
+      }
+    }
+
+    @Override
+    public void closed(Link link) {
+      links--;
+      open.remove(link);
+      if (open.isEmpty() && endpoint.state() == State.GONE) {
+        workers.values().remove(this);
+      }
+    }
+
+    void submit(Exchange x) {
+      Link best = null;
+      for (Link l : open) {
+        if (l.accepts(x, names.streamsPerConnection()) && (best == null || l.load() < best.load())) {
+          best = l;
+        }
+      }
+      if (best == null && open.size() < MOST_LINKS_EACH && links < mostLinks) {
+        best = connect();
+      }
+      if (best == null) { // guards the descriptors: no connection, so nothing ran
+        x.lost(Code.CONNECT_FAILED);
+      } else {
+        best.submit(x);
+      }
+    }
+
+    private Link connect() {
+      Link link = new Link(vertx, clock, this, (long) (IDLE_PART * names.idleCloseMillis()));
+      open.add(link);
+      links++;
+      counters.add(Count.WORKER_CONNECTIONS);
+      client.connect(endpoint.port(), endpoint.host()).onComplete(link::opened, e -> link.refused());
+      return link;
+    }
+  }
+
+  @Override
+  public void update(int id, Endpoint endpoint, long toldAt) {
+    workers.computeIfAbsent(id, i -> new Worker()).update(endpoint, toldAt);
+  }
+
+  private void submit(int worker, Exchange x) {
+    Worker w = workers.get(worker);
+    if (w == null) {
+      x.lost(Code.CONNECT_FAILED);
+    } else {
+      w.submit(x);
+    }
+  }
+
+  // ---------------------------------------------------------------- calls
+
+  @Override
+  public void run(Attempt attempt) {
+    submit(attempt.worker(), new Exchange(attempt.request().rid(), attempt.deadline()) {
+      @Override
+      Buffer command(long now) {
+        Buffer fields = Buffer.buffer("sort=").appendString(names.classes().get(attempt.request().callClass()))
+            .appendString(",asset=").appendBuffer(attempt.request().functionBytes())
+            .appendString(",patience=" + Math.max(1, (deadline - now) / 1_000));
+        if (attempt.request().key() != null) {
+          fields.appendString(",op=").appendBuffer(attempt.request().key());
+        }
+        return RespParser.command(RUN, id, fields, attempt.request().body());
+      }
+
+      @Override
+      boolean isNewWork() {
+        return true;
+      }
+
+      @Override
+      Buffer withdrawal() {
+        return RespParser.command(STOP, id);
+      }
+
+      @Override
+      void answered(List<Buffer> parts) {
+        attempt.end(ending(parts));
+      }
+
+      @Override
+      void lost(Code code) {
+        attempt.end(Ending.of(code));
+      }
+    });
+  }
+
+  /** Guards against an answer without a body or fields: it is read as an error, which proves nothing. */
+  private Ending ending(List<Buffer> parts) {
+    if (parts.size() != 4) {
+      return Ending.of(Code.ERROR);
+    }
+    Fields f = new Fields(parts.get(2));
+    Code code = Fields.code(parts.get(1));
+    boolean counted = code == Code.OK || code == Code.FULL;
+    return new Ending(code, f.note(), counted ? f.count("depth") : -1, f.report(settings.report().fields()),
+        parts.get(3));
+  }
+
+  @Override
+  public void stop(Attempt attempt) {
+    Worker w = workers.get(attempt.worker());
+    if (w != null) {
+      List.copyOf(w.open).stream().anyMatch(l -> l.withdraw(attempt.request().rid(), Code.CANCELLED));
+    }
+  }
+
+  // ---------------------------------------------------------------- orders and probes
+
+  @Override
+  public void hold(Order order) {
+    submit(order.worker(), new Exchange(nextTag(), clock.now() + names.orderMillis() * 1_000) {
+      @Override
+      Buffer command(long now) {
+        return RespParser.command(HOLD, id, Buffer.buffer("asset=").appendBuffer(order.function())
+            .appendString(",pods=" + order.copies()));
+      }
+
+      @Override
+      boolean isNewWork() {
+        return order.copies() > 0;
+      }
+
+      @Override
+      void answered(List<Buffer> parts) {
+        order.end(parts.size() < 2 ? Code.ERROR : Fields.code(parts.get(1)),
+            parts.size() < 3 ? 0 : new Fields(parts.get(2)).count("pods"));
+      }
+
+      @Override
+      void lost(Code code) {
+        order.end(code, 0);
+      }
+    });
+  }
+
+  @Override
+  public void probe(Probing probing) {
+    submit(probing.worker(), new Exchange(nextTag(), clock.now() + PROBE_MICROS) {
+      @Override
+      Buffer command(long now) {
+        return RespParser.command(INFO, id);
+      }
+
+      @Override
+      void answered(List<Buffer> parts) {
+        boolean alive = parts.size() > 1 && parts.get(1).toString().equals("alive");
+        probing.end(alive ? Code.OK : Code.ERROR,
+            parts.size() < 3 ? null : new Fields(parts.get(2)).report(settings.report().fields()));
+      }
+
+      @Override
+      void lost(Code code) {
+        probing.end(code, null);
+      }
+    });
+  }
+
+  @Override
+  public void free(int worker, Buffer function) {
+    submit(worker, new Exchange(nextTag(), clock.now() + PROBE_MICROS) {
+      @Override
+      Buffer command(long now) {
+        return RespParser.command(FREE, function);
+      }
+
+      @Override
+      boolean isOneWay() {
+        return true;
+      }
+
+      @Override
+      void answered(List<Buffer> parts) { }
+
+      @Override
+      void lost(Code code) { }
+    });
+  }
+
+  @Override
+  public void closeIdle(int worker) {
+    Worker w = workers.get(worker);
+    if (w != null) {
+      List.copyOf(w.open).forEach(Link::closeIfIdle);
+    }
+  }
+
+  private Buffer nextTag() {
+    return Buffer.buffer("t" + ++tag);
+  }
+}
