Rehearse the hot paths before ready, and refuse new calls while late

Cause: a cold virtual machine on one core; calls lay unread in the socket while their budget ran, and the core counted it from the read only.

Now: Rehearsal runs a throw-away module and the framing and asks the front's own port for heartbeats before it answers true; LagMeter takes what a call may have lain unread off its budget and refuses while the loop is over 150 ms late.

--- /dev/null
+++ b/src/main/java/umberrun/Rehearsal.java
@@ -0,0 +1,119 @@
+package umberrun;
+
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.net.NetSocket;
+import io.vertx.core.net.SocketAddress;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import saddlestall.Choice;
+import saddlestall.Dispatcher.Action;
+import saddlestall.Dispatcher.Call;
+import saddlestall.Dispatcher.Code;
+import saddlestall.Dispatcher.Due;
+import saddlestall.Dispatcher.ListKind;
+import saddlestall.Dispatcher.Member;
+import saddlestall.Dispatcher.Members;
+import saddlestall.Dispatcher.Note;
+import saddlestall.Dispatcher.Outcome;
+import saddlestall.Dispatcher.Send;
+import saddlestall.Dispatcher.Settings;
+import saddlestall.Dispatcher.State;
+import umberrun.front.rpc.RpcFront;
+import umberrun.worker.WorkerPool;
+
+/**
+ * Runs the paths that every call takes before the first one comes, so that they are compiled by then: on one
+ * core the first seconds of a cold virtual machine else answer late. Decides nothing and sends nothing to others:
+ * a module of its own is thrown away, and the front's own port is asked for its heartbeat.
+ */
+final class Rehearsal {
+  private static final long MODULE_NANOS = 1_200_000_000L;
+  private static final int MODULE_CALLS = 12_000;
+  private static final int PARSED = 4_000;
+  private static final int HEARTBEATS = 3_200;
+  private static final int AT_ONCE = 16;
+  private static final long SOCKET_MILLIS = 1_500;
+
+  private Rehearsal() { }
+
+  /** Takes a throw-away module through calls, answers and ticks, on a clock of its own. */
+  static void module(Settings settings) {
+    ArrayDeque<Send> sends = new ArrayDeque<>();
+    long now = 1_000_000_000L;
+    java.util.function.Consumer<Action> actions = a -> {
+      if (a instanceof Send s) {
+        sends.add(s);
+      }
+    };
+    Choice module = new Choice(settings, 1, now, actions);
+    List<Member> members = new ArrayList<>();
+    for (int i = 1; i <= 16; i++) {
+      members.add(new Member(i * 0x9E3779B1, i % 3, i % 2, 0, State.READY, 1, 0));
+    }
+    module.handle(now, new Members(ListKind.FULL, members), actions);
+    Random random = new Random(1);
+    long end = System.nanoTime() + MODULE_NANOS;
+    for (int id = 1; id <= MODULE_CALLS && System.nanoTime() < end; id++) {
+      now += 3_000;
+      int callClass = id % settings.classes().size();
+      module.handle(now, new Call(id, settings.classes().get(callClass).giveUp(), 0,
+          1 + (long) (40 * random.nextDouble() * random.nextDouble()), 4, 4_000, callClass,
+          id % Math.max(1, settings.tenants().size()), false, false, 1_500_000), actions);
+      if (id % 16 == 0) {
+        module.handle(now, new Due(-1), actions);
+      }
+      while (sends.size() > 12) {
+        Send s = sends.poll();
+        boolean full = id % 50 == 0;
+        module.handle(now, new Outcome(s.call(), 0, s.worker(), full ? Code.FULL : Code.OK, 60_000, !full, Note.WARM,
+            1, null), actions);
+      }
+    }
+  }
+
+  /** The framing of both wires, without a socket. */
+  static void framing() {
+    WorkerPool.rehearse(PARSED);
+  }
+
+  /** Asks the front at its own port for heartbeats, over and over. */
+  static Future<Void> sockets(Vertx vertx, SocketAddress address) {
+    Promise<Void> done = Promise.promise();
+    long limit = vertx.setTimer(SOCKET_MILLIS, t -> done.tryComplete());
+    vertx.createNetClient().connect(address.port(), address.host()).onFailure(e -> done.tryComplete())
+        .onSuccess(socket -> ask(socket, done));
+    return done.future().onComplete(v -> vertx.cancelTimer(limit));
+  }
+
+  private static void ask(NetSocket socket, Promise<Void> done) {
+    int answer = RpcFront.heartbeatAnswerBytes();
+    int[] heard = {0};
+    int[] asked = {0};
+    Runnable round = () -> {
+      Buffer batch = Buffer.buffer();
+      for (int i = 0; i < AT_ONCE; i++) {
+        batch.appendBuffer(RpcFront.rehearsalRequest(1));
+      }
+      asked[0] += AT_ONCE;
+      socket.write(batch);
+    };
+    socket.handler(b -> {
+      heard[0] += b.length();
+      if (heard[0] >= asked[0] * answer) {
+        if (asked[0] >= HEARTBEATS) {
+          done.tryComplete();
+        } else {
+          round.run();
+        }
+      }
+    });
+    socket.closeHandler(v -> done.tryComplete());
+    done.future().onComplete(v -> socket.close());
+    round.run();
+  }
+}
--- a/src/main/java/umberrun/Server.java
+++ b/src/main/java/umberrun/Server.java
@@ -28,6 +28,7 @@
   private final Context context;
   private Owner owner;
   private RpcFront rpc;
+  private boolean draining;
 
   private Server(Config config) {
     this.config = config;
@@ -40,6 +41,8 @@
 
   static void start(Config config) {
     Server server = new Server(config);
+    Rehearsal.module(config.settings());
+    Rehearsal.framing();
     server.context.runOnContext(v -> server.open());
     Runtime.getRuntime().addShutdownHook(new Thread(server::drain, "drain"));
   }
@@ -54,8 +57,8 @@
       changeLog.known(config.known());
       changeLog.start();
       rpc = new RpcFront(vertx, owner, counters, config.names(), config.sockets());
-      rpc.listen(config.listen()).onSuccess(port -> {
-        rpc.setFit(true);
+      rpc.listen(config.listen()).compose(port -> Rehearsal.sockets(vertx, config.listen())).onSuccess(v -> {
+        rpc.setFit(!draining);
         log(config.name() + " listens on " + config.listen());
       }).onFailure(this::fail);
     } catch (RuntimeException e) {
@@ -72,6 +75,7 @@
   private void drain() {
     long most = config.settings().classes().stream().mapToLong(CallClass::giveUp).max().orElse(0) / 1_000;
     context.runOnContext(v -> {
+      draining = true;
       if (rpc == null) {
         done.countDown();
         return;
--- a/src/main/java/umberrun/core/Owner.java
+++ b/src/main/java/umberrun/core/Owner.java
@@ -57,6 +57,8 @@
   /** Spellings of functions kept to write orders with; the module forgets functions sooner. */
   private static final int MOST_FUNCTIONS = 16_384;
   private static final long GUARD_BACKOFF_MILLIS = 250;
+  /** A machine later than this takes nothing new: what it takes it could not answer in time. */
+  private static final long MOST_LAG = 150_000;
 
   private final Vertx vertx;
   private final Context context;
@@ -69,6 +71,7 @@
   private final ArrayDeque<Runnable> queue = new ArrayDeque<>();
   private final ArrayDeque<Action> actions = new ArrayDeque<>();
   private final Map<Integer, Call> calls = new HashMap<>();
+  private final LagMeter lag;
   private final Roster roster = new Roster();
   private final Map<Long, Buffer> functions = new LinkedHashMap<>(64, 0.75f, true) {
     private static final long serialVersionUID = 1;
@@ -95,6 +98,7 @@
     this.counters = counters;
     this.settings = settings;
     this.log = log;
+    this.lag = new LagMeter(vertx, clock);
     this.workers = workers.apply(this);
     this.module = module.apply(actions::add);
     post(this::carryOut);
@@ -178,7 +182,8 @@
   /** Takes a call; its answer goes to {@code reply}. */
   public Call take(Request request, Reply reply) {
     long now = clock.now();
-    Call call = new Call(nextCall++, request, reply, now + Math.max(1, request.patience()));
+    // The client has waited since it wrote the call, which may have lain unread for as long as we are late.
+    Call call = new Call(nextCall++, request, reply, now + Math.max(1, request.patience() - lag.lag()));
     counters.add(Count.CALLS_TAKEN);
     post(() -> begin(call));
     return call;
@@ -203,7 +208,7 @@
       return;
     }
     Request r = call.request;
-    if (calls.size() >= MOST_CALLS || bytesInHand + r.body().length() > MOST_BYTES) {
+    if (lag.lag() > MOST_LAG || calls.size() >= MOST_CALLS || bytesInHand + r.body().length() > MOST_BYTES) {
       refuse(call, GUARD_BACKOFF_MILLIS);
       return;
     }
--- a/src/main/java/umberrun/front/rpc/RpcFront.java
+++ b/src/main/java/umberrun/front/rpc/RpcFront.java
@@ -78,6 +78,17 @@
     connections.remove(connection);
   }
 
+  /** A heartbeat that carries the fields of a call, as the decoder then has the same work with it. */
+  public static Buffer rehearsalRequest(long id) {
+    return RpcEncoder.request(id, "heartbeat", Map.of("rid", "9b1f03aa5c7e2d41", "budget", "1500", "acct", "acme",
+        "obj", "7f3a9c21e0b4d655", "info", "memory_mb:512;lanes:2;load_ms:640"), Buffer.buffer(new byte[100]));
+  }
+
+  /** How long the answer to a heartbeat with a small id is. */
+  public static int heartbeatAnswerBytes() {
+    return RpcEncoder.heartbeat(1, false).length();
+  }
+
   /** The call in a request, of which the method is the class. */
   Request request(RpcMessage.Request r) throws BadField {
     Map<String, String> f = r.fields();
--- a/src/main/java/umberrun/worker/WorkerPool.java
+++ b/src/main/java/umberrun/worker/WorkerPool.java
@@ -281,6 +281,17 @@
     }
   }
 
+  /** Reads made-up answers, so that the framing is compiled before the first real one comes. */
+  public static void rehearse(int answers) {
+    Buffer body = Buffer.buffer(new byte[200]);
+    Buffer fields = Buffer.buffer("n=w,depth=3");
+    Buffer id = Buffer.buffer("0123456789abcdef");
+    RespParser parser = new RespParser(parts -> new Fields(parts.get(2)).note(), () -> { });
+    for (int i = 0; i < answers; i++) {
+      parser.handle(RespParser.command(id, Buffer.buffer("200"), fields, body));
+    }
+  }
+
   private Buffer nextTag() {
     return Buffer.buffer("t" + ++tag);
   }
