--- a/src/main/java/umberrun/config/Config.java
+++ b/src/main/java/umberrun/config/Config.java
@@ -60,10 +60,13 @@
       String operator = env.get("UMBERRUN_OPERATOR");
       String changelog = text(o, "changelog");
       Names names = names(settings);
+      OperatorFile file = operator == null || operator.isEmpty() ? null : OperatorFile.read(json(operator));
+      if (changelog.isEmpty() && (file == null || !file.listsWorkers())) {
+        throw new BadConfig("no source of workers: neither changelog nor consul.workers is set");
+      }
       return new Config(name, address(listen, "listen"), seed(text(o, "seed")), sockets(object(o, "limits")),
           changelog.isEmpty() ? null : address(changelog, "changelog"), object(o, "known"),
-          SettingsJson.read(settings.toString()), names,
-          operator == null || operator.isEmpty() ? null : OperatorFile.read(json(operator)));
+          SettingsJson.read(settings.toString()), names, file);
     } catch (IllegalStateException | NumberFormatException | ClassCastException
         | UnsupportedOperationException e) { // a field of another type than it should have
       throw new BadConfig(path + ": " + e.getMessage());
--- a/src/main/java/umberrun/config/OperatorFile.java
+++ b/src/main/java/umberrun/config/OperatorFile.java
@@ -3,23 +3,29 @@
 import com.google.gson.JsonObject;
 import io.vertx.core.net.SocketAddress;
 import umberrun.config.Config.BadConfig;
+import umberrun.core.Invocations.Bounds;
 
 /** The operator's own file: whether and where the invoke API listens, and which Consul it works with. */
-public record OperatorFile(SocketAddress invoke, Deferred deferred, Consul consul) {
-
-  /** Bounds of deferred calls: waiting, in hand, kept results and for how long. */
-  public record Deferred(int queue, int inHand, int results, long resultBytes, long keepMillis) { }
+public record OperatorFile(SocketAddress invoke, Bounds deferred, Consul consul) {
 
   /** The agent, the name that we register under, and the name whose instances are our workers (or empty). */
   public record Consul(SocketAddress agent, String service, String workers, long waitMillis) { }
 
+  /** Whether the list of workers comes from Consul. */
+  public boolean listsWorkers() {
+    return consul != null && !consul.workers.isEmpty();
+  }
+
   static OperatorFile read(JsonObject o) throws BadConfig {
     JsonObject invoke = part(o, "invoke");
     JsonObject consul = part(o, "consul");
     JsonObject deferred = part(o, "deferred");
+    if (consul.has("agent") && !invoke.has("listen")) {
+      throw new BadConfig("consul needs invoke.listen: the check that is registered lies there");
+    }
     return new OperatorFile(
         invoke.has("listen") ? Config.address(invoke.get("listen").getAsString(), "invoke.listen") : null,
-        new Deferred((int) figure(deferred, "queue", 1_000), (int) figure(deferred, "in_hand", 64),
+        new Bounds((int) figure(deferred, "queue", 1_000), (int) figure(deferred, "in_hand", 64),
             (int) figure(deferred, "results", 4_096), figure(deferred, "result_bytes", 8 << 20),
             figure(deferred, "keep_ms", 60_000)),
         consul.has("agent") ? new Consul(Config.address(consul.get("agent").getAsString(), "consul.agent"),
--- a/src/main/java/umberrun/core/LagMeter.java
+++ b/src/main/java/umberrun/core/LagMeter.java
@@ -8,7 +8,7 @@
  */
 final class LagMeter {
   private static final long BEAT_MILLIS = 10;
-  private static final double FADE = 0.8;
+  private static final double FADE = 0.6;
 
   private final Clock clock;
   private long dueAt;
--- a/src/main/java/umberrun/core/Owner.java
+++ b/src/main/java/umberrun/core/Owner.java
@@ -108,6 +108,11 @@
     return settings;
   }
 
+  /** Whether this machine keeps up, so that what it takes it can answer in time. */
+  public boolean isOnTime() {
+    return lag.lag() <= MOST_LAG;
+  }
+
   // ---------------------------------------------------------------- the queue
 
   /** Queues a step; callable on the context's thread only, as all sockets live there. */
@@ -185,6 +190,8 @@
     // The client has waited since it wrote the call, which may have lain unread for as long as we are late.
     Call call = new Call(nextCall++, request, reply, now + Math.max(1, request.patience() - lag.lag()));
     counters.add(Count.CALLS_TAKEN);
+    calls.put(call.id, call);
+    bytesInHand += request.body().length();
     post(() -> begin(call));
     return call;
   }
@@ -195,9 +202,7 @@
       if (!call.over) {
         counters.add(Count.CALLS_LEFT);
         finish(call);
-        if (calls.containsKey(call.id)) {
-          tell(new Left(call.id));
-        }
+        tell(new Left(call.id));
         release(call);
       }
     });
@@ -208,12 +213,10 @@
       return;
     }
     Request r = call.request;
-    if (lag.lag() > MOST_LAG || calls.size() >= MOST_CALLS || bytesInHand + r.body().length() > MOST_BYTES) {
+    if (!isOnTime() || calls.size() > MOST_CALLS || bytesInHand > MOST_BYTES) {
       refuse(call, GUARD_BACKOFF_MILLIS);
       return;
     }
-    calls.put(call.id, call);
-    bytesInHand += r.body().length();
     functions.put(r.function(), r.functionBytes());
     long left = call.deadline - clock.now();
     call.timers.add(vertx.setTimer(Math.max(1, (left - GUARD_EARLY) / 1_000), t -> post(() -> guard(call))));
@@ -269,11 +272,6 @@
     }
   }
 
-  /** Calls that are owed an answer. */
-  public int owed() {
-    return (int) calls.values().stream().filter(c -> !c.over).count();
-  }
-
   // ---------------------------------------------------------------- attempts
 
   private void send(Send a) {
--- a/src/main/java/umberrun/core/Request.java
+++ b/src/main/java/umberrun/core/Request.java
@@ -18,4 +18,8 @@
   public record Figures(double lanes, double memoryMb, long loadTime) {
     public static final Figures NONE = new Figures(1, 0, 0);
   }
+
+  Request withPatience(long left) {
+    return new Request(rid, callClass, tenant, functionBytes, function, key, left, repeat, figures, body);
+  }
 }
--- /dev/null
+++ b/src/main/java/umberrun/front/invoke/InvokeFront.java
@@ -0,0 +1,274 @@
+package umberrun.front.invoke;
+
+import com.google.gson.Gson;
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.HttpServer;
+import io.vertx.core.http.HttpServerOptions;
+import io.vertx.core.http.HttpServerRequest;
+import io.vertx.core.http.HttpServerResponse;
+import io.vertx.core.net.SocketAddress;
+import java.security.SecureRandom;
+import java.util.function.Consumer;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import saddlestall.Dispatcher.CallClass;
+import umberrun.config.Config.Names;
+import umberrun.core.Invocation;
+import umberrun.core.Invocations;
+import umberrun.core.Invocations.KeyReused;
+import umberrun.core.Owner;
+import umberrun.core.Request;
+import umberrun.core.Result;
+import umberrun.front.CallFields;
+import umberrun.front.CallFields.BadField;
+import umberrun.stats.Counters;
+import umberrun.stats.Counters.Count;
+
+/** The invoke API over HTTP/1.1: decodes a call, hands it on, encodes its one answer. */
+public final class InvokeFront {
+  private static final Pattern INVOKE = Pattern.compile("/v1/functions/([^/]+)/invocations");
+  private static final Pattern COLLECT = Pattern.compile("/v1/invocations/([^/]+)");
+  private static final int IDLE_SECONDS = 75;
+  private static final long MOST_POLL_MILLIS = 30_000;
+
+  private final Vertx vertx;
+  private final HttpServer server;
+  private final Owner owner;
+  private final Invocations invocations;
+  private final Counters counters;
+  private final Names names;
+  private final int mostConnections;
+  private final SecureRandom random = new SecureRandom();
+  private int connections;
+  private boolean fit;
+
+  public InvokeFront(Vertx vertx, Owner owner, Invocations invocations, Counters counters, Names names,
+      int sockets) {
+    this.vertx = vertx;
+    this.owner = owner;
+    this.invocations = invocations;
+    this.counters = counters;
+    this.names = names;
+    this.mostConnections = sockets / 8;
+    this.server = vertx.createHttpServer(new HttpServerOptions().setTcpNoDelay(true).setReuseAddress(true)
+        .setIdleTimeout(IDLE_SECONDS).setHandle100ContinueAutomatically(true));
+    server.connectionHandler(c -> {
+      if (connections >= mostConnections) { // guards the descriptors that the rest needs
+        c.close();
+        return;
+      }
+      connections++;
+      c.closeHandler(v -> connections--);
+    });
+    server.invalidRequestHandler(r -> new Problem(400, "not a readable request").write(r.response()));
+    server.requestHandler(this::handle);
+  }
+
+  public Future<Integer> listen(SocketAddress address) {
+    return server.listen(address).map(HttpServer::actualPort);
+  }
+
+  /** Whether the health check passes. */
+  public void setFit(boolean fit) {
+    this.fit = fit;
+  }
+
+  private void handle(HttpServerRequest request) {
+    try {
+      route(request);
+    } catch (Problem e) {
+      counters.add(Count.BAD_REQUESTS);
+      e.write(request.response());
+    }
+  }
+
+  private void route(HttpServerRequest request) throws Problem {
+    String path = request.path() == null ? "" : request.path();
+    Matcher invoke = INVOKE.matcher(path);
+    Matcher collect = COLLECT.matcher(path);
+    if (invoke.matches()) {
+      allow(request, HttpMethod.POST);
+      invoke(request, invoke.group(1));
+    } else if (collect.matches()) {
+      allow(request, HttpMethod.GET, HttpMethod.DELETE);
+      collect(request, collect.group(1));
+    } else if (path.equals("/v1/health")) {
+      allow(request, HttpMethod.GET);
+      request.response().setStatusCode(fit ? 200 : 503).end(fit ? "passing\n" : "leaving\n");
+    } else if (path.equals("/v1/counters")) {
+      allow(request, HttpMethod.GET);
+      request.response().putHeader("Content-Type", "application/json").end(new Gson().toJson(counters.snapshot()));
+    } else {
+      throw new Problem(404, "nothing is at this path");
+    }
+  }
+
+  private static void allow(HttpServerRequest request, HttpMethod... methods) throws Problem {
+    for (HttpMethod m : methods) {
+      if (m.equals(request.method())) {
+        return;
+      }
+    }
+    StringBuilder allowed = new StringBuilder();
+    for (HttpMethod m : methods) {
+      allowed.append(allowed.length() == 0 ? "" : ", ").append(m.name());
+    }
+    request.response().putHeader("Allow", allowed);
+    throw new Problem(405, "the method is not allowed here");
+  }
+
+  // ---------------------------------------------------------------- calls
+
+  private void invoke(HttpServerRequest request, String function) throws Problem {
+    Buffer body = Buffer.buffer();
+    boolean[] refused = {false};
+    request.handler(piece -> {
+      if (!refused[0] && body.length() + piece.length() > CallFields.MOST_BODY) { // guards the memory
+        refused[0] = true;
+        counters.add(Count.BAD_REQUESTS);
+        request.response().putHeader("Connection", "close");
+        new Problem(413, "the body is longer than " + CallFields.MOST_BODY + " bytes").write(request.response());
+        request.connection().close();
+      } else if (!refused[0]) {
+        body.appendBuffer(piece);
+      }
+    });
+    request.endHandler(v -> {
+      if (!refused[0]) {
+        try {
+          submit(request, function, body);
+        } catch (Problem e) {
+          counters.add(Count.BAD_REQUESTS);
+          e.write(request.response());
+        }
+      }
+    });
+    request.exceptionHandler(e -> refused[0] = true); // the client went before its call was whole
+  }
+
+  private void submit(HttpServerRequest request, String function, Buffer body) throws Problem {
+    Preferences preferences = Preferences.of(request.headers());
+    try {
+      Request call = call(request, function, body, preferences);
+      Invocation i = invocations.submit(call, Integer.toString(call.tenant()), preferences.async());
+      if (!preferences.async()) {
+        await(request, i, 0, null);
+      } else if (i.result() instanceof Result.Refused r && r.crowded()) {
+        answer(request.response(), r);
+      } else {
+        poll(request, i, preferences.waitMillis());
+      }
+    } catch (BadField e) {
+      throw new Problem(400, e.getMessage());
+    } catch (KeyReused e) {
+      throw new Problem(409, e.getMessage());
+    }
+  }
+
+  /** Reads a call. The documented headers are {@code Invoke-Class}, {@code Invoke-Tenant}, {@code Invoke-Figures}. */
+  private Request call(HttpServerRequest request, String function, Buffer body, Preferences preferences)
+      throws BadField {
+    int callClass = names.classes().indexOf(header(request, "Invoke-Class"));
+    if (callClass < 0) {
+      throw new BadField("Invoke-Class must name a class: " + names.classes());
+    }
+    int tenant = names.tenants().indexOf(header(request, "Invoke-Tenant"));
+    if (tenant < 0 && !names.tenants().isEmpty()) {
+      throw new BadField("Invoke-Tenant must name a tenant");
+    }
+    long number = CallFields.hex("the function", function);
+    Buffer key = CallFields.key(unquoted(request.getHeader("Idempotency-Key")));
+    CallFields.requireKey(owner.settings(), callClass, key);
+    CallClass kind = owner.settings().classes().get(callClass);
+    long wait = preferences.waitMillis() * 1_000;
+    long patience = preferences.async() || wait < 0 ? kind.giveUp() : Math.min(wait, kind.giveUp());
+    return new Request(Buffer.buffer(String.format("%016x", random.nextLong())), callClass, Math.max(0, tenant),
+        Buffer.buffer(function), number, key, patience, false,
+        CallFields.figures(request.getHeader("Invoke-Figures")), body);
+  }
+
+  private static String header(HttpServerRequest request, String name) {
+    String value = request.getHeader(name);
+    return value == null ? "" : value;
+  }
+
+  /** The header is a structured string: its quotes are no part of the key. */
+  private static String unquoted(String key) {
+    boolean quoted = key != null && key.length() >= 2 && key.startsWith("\"") && key.endsWith("\"");
+    return quoted ? key.substring(1, key.length() - 1) : key;
+  }
+
+  // ---------------------------------------------------------------- answers
+
+  private void collect(HttpServerRequest request, String id) throws Problem {
+    Invocation i = invocations.get(id);
+    if (i == null) {
+      throw new Problem(404, "no such invocation, or its result is no longer kept");
+    }
+    if (request.method().equals(HttpMethod.DELETE)) {
+      invocations.giveUp(i);
+      request.response().setStatusCode(204).end();
+    } else {
+      poll(request, i, Preferences.of(request.headers()).waitMillis());
+    }
+  }
+
+  /** Answers with the result if it comes within the wait, else with where it can be collected. */
+  private void poll(HttpServerRequest request, Invocation i, long waitMillis) {
+    boolean collects = request.method().equals(HttpMethod.GET);
+    if (waitMillis <= 0 && (i.result() == null || !collects)) {
+      accepted(request.response(), i);
+    } else {
+      await(request, i, Math.min(MOST_POLL_MILLIS, waitMillis), () -> accepted(request.response(), i));
+    }
+  }
+
+  /** Answers with the result, or with {@code meanwhile} after so many milliseconds; 0 waits for the result. */
+  private void await(HttpServerRequest request, Invocation i, long millis, Runnable meanwhile) {
+    HttpServerResponse response = request.response();
+    long[] timer = {-1};
+    Consumer<Result> waiter = result -> {
+      vertx.cancelTimer(timer[0]);
+      answer(response, result);
+    };
+    if (millis > 0 && i.result() == null) {
+      timer[0] = vertx.setTimer(millis, t -> {
+        i.forget(waiter);
+        meanwhile.run();
+      });
+    }
+    response.closeHandler(v -> {
+      if (!response.ended()) {
+        vertx.cancelTimer(timer[0]);
+        invocations.leave(i, waiter);
+      }
+    });
+    i.await(waiter);
+  }
+
+  private static void accepted(HttpServerResponse response, Invocation i) {
+    if (!response.closed() && !response.ended()) {
+      response.setStatusCode(202).putHeader("Location", "/v1/invocations/" + i.id())
+          .putHeader("Retry-After", "1").end();
+    }
+  }
+
+  private static void answer(HttpServerResponse response, Result result) {
+    if (response.closed() || response.ended()) {
+      return;
+    }
+    if (result instanceof Result.Served s) {
+      response.setStatusCode(200).putHeader("Content-Type", "application/octet-stream").end(s.body());
+    } else if (result instanceof Result.Refused r) {
+      new Problem(r.crowded() ? 429 : 503, "not run; trying again does no harm", r.backoffMillis()).write(response);
+    } else if (result instanceof Result.Failed f) {
+      new Problem(f.overdue() ? 504 : 502, f.overdue() ? "no answer in time; it may have run"
+          : "no worker served it; it may have run").write(response);
+    } else {
+      new Problem(410, "the invocation was given up").write(response);
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/umberrun/roll/Consul.java
@@ -0,0 +1,144 @@
+package umberrun.roll;
+
+import static umberrun.roll.Json.number;
+import static umberrun.roll.Json.object;
+import static umberrun.roll.Json.place;
+import static umberrun.roll.Json.text;
+
+import com.google.gson.JsonElement;
+import com.google.gson.JsonObject;
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.net.SocketAddress;
+import java.net.URLEncoder;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import saddlestall.Dispatcher.ListKind;
+import saddlestall.Dispatcher.State;
+import umberrun.config.Config.Names;
+import umberrun.config.OperatorFile;
+import umberrun.core.Endpoint;
+import umberrun.core.Owner;
+import umberrun.stats.Counters;
+
+/**
+ * Consul as the source of the list: the instances of one service and their checks by blocking queries on the
+ * health API; their zone, kind and start, as metadata, from the catalogue. A critical instance drains, one that
+ * is absent is gone. The front end itself is registered with a check on its health path.
+ */
+public final class Consul implements Roll {
+  private static final String INDEX = "X-Consul-Index";
+  private static final long SHORT_MILLIS = 2_000;
+
+  private final Poller poller;
+  private final Owner owner;
+  private final Names names;
+  private final OperatorFile.Consul settings;
+  private final String id;
+  private final SocketAddress invoke;
+  private long index;
+
+  /** @param invoke where the invoke API listens, and so its health check */
+  public Consul(Vertx vertx, Owner owner, Names names, OperatorFile.Consul settings, String name,
+      SocketAddress invoke, Counters counters) {
+    this.owner = owner;
+    this.names = names;
+    this.settings = settings;
+    this.id = settings.service() + "-" + name;
+    this.invoke = invoke;
+    this.poller = new Poller(vertx, settings.agent(), counters);
+  }
+
+  @Override
+  public void start() {
+    poller.once(this::register);
+    if (!settings.workers().isEmpty()) {
+      poller.repeat(this::poll);
+    }
+  }
+
+  @Override
+  public void leave() {
+    poller.ask(HttpMethod.PUT, "/v1/agent/service/deregister/" + encoded(id), Buffer.buffer(), SHORT_MILLIS);
+  }
+
+  private Future<Void> register() {
+    JsonObject check = new JsonObject();
+    check.addProperty("HTTP", "http://" + invoke.host() + ":" + invoke.port() + "/v1/health");
+    check.addProperty("Interval", "2s");
+    check.addProperty("Timeout", "1s");
+    check.addProperty("DeregisterCriticalServiceAfter", "1m");
+    JsonObject service = new JsonObject();
+    service.addProperty("ID", id);
+    service.addProperty("Name", settings.service());
+    service.addProperty("Address", invoke.host());
+    service.addProperty("Port", invoke.port());
+    service.add("Check", check);
+    return poller.ask(HttpMethod.PUT, "/v1/agent/service/register", Buffer.buffer(service.toString()), SHORT_MILLIS)
+        .mapEmpty();
+  }
+
+  private Future<Void> poll() {
+    String service = encoded(settings.workers());
+    return poller.ask(HttpMethod.GET, "/v1/health/service/" + service + "?index=" + index + "&wait="
+        + settings.waitMillis() + "ms", Buffer.buffer(), settings.waitMillis() + settings.waitMillis() / 16)
+        .compose(health -> {
+          long next = Long.parseLong(String.valueOf(health.response().getHeader(INDEX)));
+          if (next == index) { // the wait ran out: nothing has changed
+            return Future.succeededFuture();
+          }
+          return poller.ask(HttpMethod.GET, "/v1/catalog/service/" + service, Buffer.buffer(), SHORT_MILLIS)
+              .map(catalogue -> {
+                owner.list(index == 0 ? ListKind.CACHED : ListKind.FULL, endpoints(health.json(), catalogue.json()));
+                index = next < index ? 0 : next; // an index that went back means a new state: start over
+                return null;
+              });
+        });
+  }
+
+  private List<Endpoint> endpoints(JsonElement health, JsonElement catalogue) {
+    Map<String, JsonObject> entries = new HashMap<>();
+    for (JsonElement e : catalogue.getAsJsonArray()) {
+      entries.put(text(e.getAsJsonObject(), "ServiceID"), e.getAsJsonObject());
+    }
+    List<Endpoint> list = new ArrayList<>();
+    for (JsonElement e : health.getAsJsonArray()) {
+      JsonObject service = object(e.getAsJsonObject(), "Service");
+      JsonObject entry = entries.getOrDefault(text(service, "ID"), new JsonObject());
+      String address = text(service, "Address");
+      String host = address.isEmpty() ? text(object(e.getAsJsonObject(), "Node"), "Address") : address;
+      list.add(new Endpoint(text(service, "ID"), host, (int) number(service, "Port"),
+          place(names.zones(), meta(entry, "zone")), place(names.kinds(), meta(entry, "kind")),
+          0, state(e.getAsJsonObject()), 1, start(meta(entry, "since_ms"))));
+    }
+    return list;
+  }
+
+  /** What the instance says of itself, or else its node. */
+  private static String meta(JsonObject entry, String key) {
+    String own = text(object(entry, "ServiceMeta"), key);
+    return own.isEmpty() ? text(object(entry, "NodeMeta"), key) : own;
+  }
+
+  private static long start(String millis) {
+    return millis.isEmpty() ? 0 : Long.parseLong(millis) * 1_000;
+  }
+
+  private static State state(JsonObject instance) {
+    for (JsonElement check : instance.getAsJsonArray("Checks")) {
+      if (text(check.getAsJsonObject(), "Status").equals("critical")) {
+        return State.DRAINING;
+      }
+    }
+    return State.READY;
+  }
+
+  private static String encoded(String part) {
+    return URLEncoder.encode(part, StandardCharsets.UTF_8).replace("+", "%20");
+  }
+}
--- a/src/main/java/umberrun/roll/Roll.java
+++ b/src/main/java/umberrun/roll/Roll.java
@@ -4,5 +4,6 @@
 public interface Roll {
   void start();
 
-  void stop();
+  /** This front end is told to end: it says so where others look it up, and goes on learning of drains. */
+  default void leave() { }
 }
--- /dev/null
+++ b/src/test/java/umberrun/InvokeScenariosTest.java
@@ -0,0 +1,146 @@
+package umberrun;
+
+import static org.junit.Assert.assertEquals;
+import static org.junit.Assert.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.junit.Test;
+import umberrun.stats.Counters.Count;
+
+/** The invoke API: both styles of call, their errors, and Consul's part, against stand-ins. */
+public class InvokeScenariosTest {
+  private static final String SYNC = "send POST /v1/functions/7f3a9c21e0b4d655/invocations "
+      + "Invoke-Tenant:central-council Invoke-Class:";
+  private static final String LOOKUP = SYNC + "date-lookup ";
+  private static final String CHANGE = SYNC + "slot-change ";
+  private static final String ASYNC = "Prefer:respond-async ";
+
+  @Test
+  public void aSynchronousCallGetsTheWorkersBytes() throws Exception {
+    try (Scenario s = Scenario.of("w1")) {
+      s.play("h1 " + LOOKUP + "Invoke-Figures:lanes:2;load_ms:100 =ask\n"
+          + "w1 expect RUN asset=7f3a9c21e0b4d655 ask\nw1 send 200 n=w told\nh1 expect 200 told");
+    }
+  }
+
+  @Test
+  public void aDeferredCallIsCollectedLater() throws Exception {
+    try (Scenario s = Scenario.of("w1")) {
+      s.play("h1 " + CHANGE + ASYNC + "Idempotency-Key:\"k-1\"\nh1 expect 202 /v1/invocations/\n"
+          + "w1 expect RUN op=k-1\nh2 send GET @ \nh2 expect 202\nh3 send GET @ Prefer:wait=9\n"
+          + "w1 send 200 n=w told\nh3 expect 200 told\nh4 send GET @\nh4 expect 200 told\n"
+          + "h5 send DELETE @\nh5 expect 204\nh6 send GET @\nh6 expect 404 problem+json");
+    }
+  }
+
+  @Test
+  public void errorsAreProblems() throws Exception {
+    try (Scenario s = Scenario.of("w1")) {
+      String key = "Idempotency-Key:k ";
+      s.play("h1 send POST /v1/functions/xyz/invocations Invoke-Class:date-lookup Invoke-Tenant:central-council\n"
+          + "h1 expect 400 problem+json\n"
+          + "h2 send GET /v1/nowhere\nh2 expect 404 problem+json\n"
+          + "h3 send GET /v1/invocations/none\nh3 expect 404\n"
+          + "h4 send PUT /v1/health\nh4 expect 405 allow=[GET]\n"
+          + "h5 " + LOOKUP + "size:16385\nh5 expect 413\n"
+          + "h6 " + CHANGE + "=x\nh6 expect 400 key\n"
+          + "h7 " + LOOKUP + "Prefer:wait=x\nh7 expect 400\n"
+          + "h8 " + CHANGE + key + ASYNC + "=one\nh8 expect 202\nh9 " + CHANGE + key + "=two\nh9 expect 409\n"
+          + "w1 expect RUN\nw1 close\nh8 send GET @ Prefer:wait=9\nh8 expect 50 may");
+    }
+  }
+
+  @Test
+  public void patienceIsTheClients() throws Exception {
+    try (Scenario s = Scenario.of("w1")) {
+      s.play("h1 " + CHANGE + "Prefer:wait=1 Idempotency-Key:k Invoke-Figures:load_ms:100\nw1 expect RUN patience=9\nh1 expect 504 problem+json");
+    }
+  }
+
+  @Test
+  public void aRefusalSaysWhenToComeBack() throws Exception {
+    try (Scenario s = Scenario.of()) { // no worker at all
+      s.play("h1 " + LOOKUP + "Prefer:wait=1\nh1 expect 503 retry-after=");
+    }
+  }
+
+  /** A device on a poor link loses its connection and asks again: it joins, and nothing runs twice. */
+  @Test
+  public void aRepeatUnderItsKeyJoins() throws Exception {
+    try (Scenario s = Scenario.of("w1")) {
+      s.play("h1 " + CHANGE + "Idempotency-Key:k =a\nw1 expect RUN op=k\nh1 close\n"
+          + "h2 " + CHANGE + "Idempotency-Key:k =a\n");
+      while (s.server.counters().get(Count.DEFERRED_JOINED) < 1) {
+        Thread.onSpinWait(); // the event that is waited for
+      }
+      s.play("w1 send 200 n=w once\nh2 expect 200 once\nw1 wait 1");
+    }
+  }
+
+  /** The brief's hard case: never outside the key's hall, and not again by a repeat of the client. */
+  @Test
+  public void aDisconnectedDeferredSlotChangeIsNeverSentElsewhere() throws Exception {
+    try (Scenario s = Scenario.of("w1")) {
+      s.play("h1 " + CHANGE + ASYNC + "Idempotency-Key:k =a\nh1 expect 202\nw1 expect RUN op=k\nh1 close");
+      s.join("x1"); // in another hall, and free
+      s.worker("w1").close(); // it may have run
+      s.play("h2 send GET @ Prefer:wait=9\nh2 expect 50 may\n"
+          + "h3 " + CHANGE + ASYNC + "Idempotency-Key:k =a\nh3 expect 202\nh4 send GET @\nh4 expect 50");
+      s.play("x1 wait 1");
+      assertEquals(1, s.server.counters().get(Count.CALLS_TAKEN));
+    }
+  }
+
+  @Test
+  public void deferredCallsWaitInABoundedQueueOfTheirOwn() throws Exception {
+    try (Scenario s = new Scenario(false, "{\"queue\":1,\"in_hand\":1}", "w1")) {
+      s.play("h1 " + LOOKUP + ASYNC + "\nh1 expect 202\nw1 expect RUN\n"
+          + "h2 " + LOOKUP + ASYNC + "\nh2 expect 202\nh3 " + LOOKUP + ASYNC + "\nh3 expect 429 retry-after=\n"
+          + "h4 " + LOOKUP + "=sync\nw1 expect RUN sync\nw1 send 200 n=w\nh4 expect 200\n"
+          + "h5 send DELETE @\nh5 expect 204");
+    }
+  }
+
+  @Test
+  public void consulListsTheWorkersAndKnowsOfUs() throws Exception {
+    try (Scenario s = new Scenario(true, "{}", "w1", "w2")) {
+      s.play("consul expect /v1/agent/service/register umberrun-n1 /v1/health");
+      s.awaitListChange(0);
+      s.play("consul send w1 critical");
+      s.awaitListChange(1);
+      for (int i = 1; i <= 4; i++) {
+        s.play("h1 " + LOOKUP + "\nw2 expect RUN\nw2 send 200 n=w\nh1 expect 200");
+      }
+      s.play("consul send w2 gone\n");
+      s.awaitListChange(2);
+      s.play("h1 " + LOOKUP + "Prefer:wait=1\nh1 expect 503\nw1 wait 1");
+    }
+  }
+
+  /** Both styles mixed at 300 calls a second for three seconds: each gets its one answer, whatever it is. */
+  @Test
+  public void noCallOfAMixIsLeftWithoutAnAnswer() throws Exception {
+    try (Scenario s = Scenario.of("w1", "w2", "x1")) {
+      for (String w : List.of("w1", "w2", "x1")) {
+        s.worker(w).answersAll = true;
+      }
+      List<CompletableFuture<String>> answers = new ArrayList<>();
+      long start = System.nanoTime();
+      for (int i = 0; i < 900; i++) {
+        answers.add(s.mixed(i));
+        long wait = start + (i + 1) * TimeUnit.SECONDS.toNanos(1) / 300 - System.nanoTime();
+        TimeUnit.NANOSECONDS.sleep(Math.max(0, wait)); // the pace, not an event
+      }
+      int served = 0;
+      for (CompletableFuture<String> a : answers) {
+        String status = a.get(Scenario.PATIENCE_SECONDS, TimeUnit.SECONDS);
+        served += status.equals("200") ? 1 : 0;
+        assertTrue(status, List.of("200", "429", "502", "503", "504").contains(status));
+      }
+      assertTrue("served " + served, served > 0);
+    }
+  }
+}
--- /dev/null
+++ b/src/test/java/umberrun/RpcScenariosTest.java
@@ -0,0 +1,210 @@
+package umberrun;
+
+import static org.junit.Assert.assertEquals;
+
+import org.junit.Test;
+import umberrun.stats.Counters.Count;
+
+/** The platform's front and the way to the workers, from socket to socket. */
+public class RpcScenariosTest {
+
+  @Test
+  public void aCallIsServedWithTheWorkersBytes() throws Exception {
+    try (Scenario s = Scenario.of("w1")) {
+      s.play("""
+          c1 send 1 heartbeat
+          c1 expect [1,1,null,[true
+          c1 send 2 date-lookup body=ask
+          w1 expect RUN 9b1f03aa5c7e2d42 sort=date-lookup asset=7f3a9c21e0b4d655 patience= ask
+          w1 send 200 n=w,depth=1 told
+          c1 expect [1,2,null told
+          """);
+      assertEquals(1, s.server.counters().get(Count.CALLS_SERVED));
+    }
+  }
+
+  @Test
+  public void answersComeInAnyOrder() throws Exception {
+    try (Scenario s = Scenario.of("w1")) {
+      s.play("""
+          c1 send 1 date-lookup
+          w1 expect RUN 2d41
+          c1 send 2 slot-change
+          w1 expect RUN op=5c0f6e1a2b3d4c59a8b7c6d5e4f30211
+          w1 send 200 n=w
+          c1 expect [1,2,null
+          """);
+    }
+  }
+
+  @Test
+  public void aCallThatNeverRanGoesToAnotherWorker() throws Exception {
+    try (Scenario s = Scenario.of("w1", "w2")) {
+      s.worker("w1").close(); // refuses connections: nothing ran there
+      s.worker("w2").answersAll = true;
+      for (int i = 1; i <= 6; i++) {
+        s.play("c1 send " + i + " slot-change\nc1 expect [1," + i + ",null");
+      }
+    }
+  }
+
+  /** Rule 2: what may have run in one hall is not sent again in another; the client is told it failed. */
+  @Test
+  public void aKeyedCallThatMayHaveRunStaysInItsHall() throws Exception {
+    try (Scenario s = Scenario.of("w1")) {
+      s.play("c1 send 1 slot-change budget=700\nw1 expect RUN");
+      s.join("x1"); // in the other hall, and free
+      s.worker("w1").close();
+      s.play("c1 expect [1,1,[\"Failed\"\nx1 wait 1");
+    }
+  }
+
+  @Test
+  public void aCallThatNobodyAnswersEndsInTime() throws Exception {
+    try (Scenario s = Scenario.of("w1")) {
+      s.play("""
+          c1 send 1 slot-change budget=400
+          w1 expect RUN
+          c1 expect [1,1,["Failed"
+          w1 expect STOP 9b1f03aa5c7e2d41
+          """);
+    }
+  }
+
+  /** A late answer is no answer to the next attempt under the same id. */
+  @Test
+  public void aLateAnswerIsPassedOver() throws Exception {
+    try (Scenario s = Scenario.of("w1")) {
+      s.play("""
+          c1 send 1 slot-change budget=300
+          w1 expect RUN
+          c1 expect [1,1,["Failed"
+          w1 send 200 n=w late
+          w1 expect STOP
+          c1 send 1 slot-change budget=3000
+          w1 expect RUN
+          w1 send 200 n=w fresh
+          c1 expect [1,1,null
+          """);
+    }
+  }
+
+  @Test
+  public void aWorkersGarbageEndsItsConnectionAsAReset() throws Exception {
+    try (Scenario s = Scenario.of("w1")) {
+      s.play("""
+          c1 send 1 slot-change budget=600
+          w1 expect RUN
+          w1 send raw 2b776861743f0d0a
+          c1 expect [1,1,["Failed"
+          """);
+      assertEquals(1, s.server.counters().get(Count.ATTEMPTS_RESET));
+    }
+  }
+
+  /** Rule 3: a second after it was told to drain, a worker sees nothing new. */
+  @Test
+  public void aDrainingWorkerSeesNothingNew() throws Exception {
+    try (Scenario s = Scenario.of("w1", "w2")) {
+      s.worker("w2").answersAll = true;
+      s.play("log send w1 terminating");
+      s.awaitListChange(2);
+      for (int i = 1; i <= 8; i++) {
+        s.play("c1 send " + i + " date-lookup\nc1 expect [1," + i + ",null");
+      }
+      s.play("w1 wait 1");
+    }
+  }
+
+  @Test
+  public void badInputIsAnsweredOrClosesItsConnectionAlone() throws Exception {
+    try (Scenario s = Scenario.of("w1")) {
+      s.worker("w1").answersAll = true;
+      s.play("""
+          c1 send 1 no-such-class
+          c1 expect [1,1,["Invalid" class
+          c1 send 2 date-lookup obj=xyz
+          c1 expect [1,2,["Invalid" obj
+          c1 send 3 date-lookup rid=none
+          c1 expect [1,3,["Invalid" rid
+          c1 send 4 slot-change token=none
+          c1 expect [1,4,["Invalid" key
+          c1 send 5 slot-change token=a,op=b
+          c1 expect [1,5,["Invalid"
+          c1 send 6 date-lookup size=16385
+          c1 expect [1,6,["Invalid" 16384
+          c1 send 7 date-lookup budget=soon
+          c1 expect [1,7,["Invalid" budget
+          c1 send 8 date-lookup info=lanes:-1
+          c1 expect [1,8,["Invalid" lanes
+          c1 send revoke 77
+          c2 send raw c1
+          c2 expect close
+          c3 send raw 94000fdbffffffff
+          c3 expect close
+          c4 send 1 date-lookup size=16384
+          c4 expect [1,1,null
+          """);
+    }
+  }
+
+  @Test
+  public void aRepeatedOpenIdClosesTheConnection() throws Exception {
+    try (Scenario s = Scenario.of("w1")) {
+      s.play("""
+          c1 send 1 date-lookup
+          w1 expect RUN
+          c1 send 1 date-lookup
+          c1 expect close
+          """);
+    }
+  }
+
+  @Test
+  public void thirtyTwoAreOpenOnAConnectionAndNoMore() throws Exception {
+    try (Scenario s = Scenario.of("w1", "w2", "w3")) {
+      for (int i = 1; i <= 32; i++) {
+        s.play("c1 send " + i + " slot-change");
+      }
+      s.play("c1 send 33 slot-change\nc1 expect [1,33,[\"Shed\" backoff");
+    }
+  }
+
+  @Test
+  public void aRevokedCallGetsNoAnswer() throws Exception {
+    try (Scenario s = Scenario.of("w1")) {
+      s.play("""
+          c1 send 1 date-lookup
+          w1 expect RUN
+          c1 send revoke 1
+          c1 send 2 heartbeat
+          c1 expect [1,2,null,[true
+          w1 send 200 n=w
+          c1 send 3 date-lookup
+          w1 expect RUN
+          w1 send 200 n=w
+          c1 expect [1,3,null
+          """);
+    }
+  }
+
+  /** A planned restart: the heartbeat says so, and what was taken is finished. */
+  @Test
+  public void aDrainFinishesWhatWasTaken() throws Exception {
+    try (Scenario s = Scenario.of("w1")) {
+      s.play("c1 send 1 date-lookup\nw1 expect RUN");
+      Thread drain = new Thread(s.server::drain);
+      drain.start();
+      while (s.server.isFit()) {
+        Thread.onSpinWait(); // the event that is waited for
+      }
+      s.play("""
+          c2 send 1 heartbeat
+          c2 expect [1,1,null,[false
+          w1 send 200 n=w
+          c1 expect [1,1,null
+          """);
+      drain.join();
+    }
+  }
+}
--- /dev/null
+++ b/src/test/java/umberrun/Scenario.java
@@ -0,0 +1,513 @@
+package umberrun;
+
+import static org.junit.Assert.assertEquals;
+import static org.junit.Assert.assertNotNull;
+import static org.junit.Assert.assertTrue;
+import static org.junit.Assert.fail;
+
+import com.google.gson.JsonObject;
+import com.sun.net.httpserver.HttpExchange;
+import com.sun.net.httpserver.HttpServer;
+import java.io.ByteArrayOutputStream;
+import java.io.DataInputStream;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.HexFormat;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.msgpack.core.MessagePack;
+import org.msgpack.core.MessageUnpacker;
+import org.msgpack.value.Value;
+import umberrun.config.Config;
+import umberrun.stats.Counters.Count;
+
+/**
+ * The scenario language: each line names a party, a verb (send, expect, close, wait) and words. Parties are
+ * clients of the platform's protocol (c1), of the invoke API (h1), workers (w1, in hall-a; x1, in hall-b), the
+ * change log (log) and Consul. What a party expects must come within ten seconds, and is waited for as an event.
+ */
+final class Scenario implements AutoCloseable {
+  static final long PATIENCE_SECONDS = 10;
+  private static final String LOOPBACK = "127.0.0.1";
+  private static final String SETTINGS = """
+      {"Classes":[{"Aim":3500,"DedupWindow":5000,"GiveUp":4000,"Group":"all","Idempotency":"idempotent",
+        "LateWorth":0.2,"Name":"date-lookup","Worth":1},
+       {"Aim":3500,"DedupWindow":5000,"GiveUp":5000,"Group":"zone","Idempotency":"deduplicated","LateWorth":0.3,
+        "Name":"slot-change","Worth":3}],
+       "FamilyInfo":{"MayLoad":true,"LoadsWithin":5000,"FreeLoads":4,"LoadsPerRequest":0.15,"MissMode":"load",
+        "StaysLoaded":8600,"WarmNotes":true,"CountsAlike":true},
+       "Limits":{"ConnectTimeout":250,"IdleClose":15000,"MayCancel":true,"MayDuplicate":true,"MayProbe":true,
+        "MaxRetryAfter":1000,"MostTries":6,"RetryAfter":true,"StreamsPerConn":100},
+       "Rules":{"AnswerSlack":16,"Cold":17000,"ColdFrom":0.18,"DrainGrace":1000,"Fall":1000,"FallMultiple":2},
+       "Report":{"Fields":["utilization","x1","x0"],"Via":"pull"},"Siblings":3,"Zone":0,
+       "Tenants":[{"Name":"central-council","Fraction":1,"QuotaPerS":500}],
+       "Kinds":["std-2"],"Zones":["hall-a","hall-b","hall-c"]}""";
+
+  private final Map<String, Worker> workers = new HashMap<>();
+  private final Map<String, RpcClient> clients = new HashMap<>();
+  private final Map<String, CompletableFuture<HttpResponse<byte[]>>> asked = new HashMap<>();
+  private final HttpClient http = HttpClient.newHttpClient();
+  private final HttpServer roll;
+  private final List<String> events = new ArrayList<>();
+  private final List<String> consulWorkers = new ArrayList<>();
+  private final BlockingQueue<String> registered = new LinkedBlockingQueue<>();
+  private int consulIndex = 1;
+  private String location;
+  final Server server;
+
+  /** Starts a front end with these workers; {@code consul} has them listed there instead of in the change log. */
+  Scenario(boolean consul, String operatorDeferred, String... names) throws Exception {
+    roll = HttpServer.create(new InetSocketAddress(LOOPBACK, 0), 0);
+    roll.setExecutor(java.util.concurrent.Executors.newCachedThreadPool(r -> {
+      Thread t = new Thread(r);
+      t.setDaemon(true);
+      return t;
+    }));
+    roll.createContext("/changes", this::changes);
+    roll.createContext("/v1/", this::consul);
+    roll.start();
+    for (String name : names) {
+      workers.put(name, new Worker());
+      change(name, "in_service");
+      consulWorkers.add(name + " passing");
+    }
+    String rollAddress = LOOPBACK + ":" + roll.getAddress().getPort();
+    JsonObject operator = new JsonObject();
+    JsonObject invoke = new JsonObject();
+    invoke.addProperty("listen", LOOPBACK + ":0");
+    operator.add("invoke", invoke);
+    operator.add("deferred", com.google.gson.JsonParser.parseString(operatorDeferred));
+    if (consul) {
+      JsonObject c = new JsonObject();
+      c.addProperty("agent", rollAddress);
+      c.addProperty("workers", "route-workers");
+      operator.add("consul", c);
+    }
+    Path file = Files.writeString(Files.createTempFile("operator", ".json"), operator.toString());
+    Path main = Files.writeString(Files.createTempFile("config", ".json"),
+        "{\"name\":\"n1\",\"listen\":\"127.0.0.1:0\",\"seed\":\"1\",\"limits\":{\"sockets\":1024},\"changelog\":\""
+            + rollAddress + "\",\"known\":" + changesSince(0) + ",\"settings\":" + SETTINGS + "}");
+    server = new Server(Config.read(Map.of("EDGE_CONFIG", main.toString(), "UMBERRUN_OPERATOR", file.toString())));
+    Files.delete(main);
+    Files.delete(file);
+    server.open().toCompletionStage().toCompletableFuture().get(PATIENCE_SECONDS, TimeUnit.SECONDS);
+  }
+
+  static Scenario of(String... workers) throws Exception {
+    return new Scenario(false, "{}", workers);
+  }
+
+  /** Plays the lines of a text. */
+  Scenario play(String text) throws Exception {
+    for (String line : text.strip().split("\n")) {
+      try {
+        step(line.strip().split("\\s+"));
+      } catch (AssertionError e) {
+        throw new AssertionError("at '" + line.strip() + "': " + e.getMessage(), e);
+      }
+    }
+    return this;
+  }
+
+  private void step(String[] words) throws Exception {
+    String party = words[0];
+    String verb = words[1];
+    String[] rest = Arrays.copyOfRange(words, 2, words.length);
+    switch (party.charAt(0)) {
+      case 'w', 'x' -> worker(party, verb, rest);
+      case 'c' -> {
+        if (party.equals("consul")) {
+          consulStep(verb, rest);
+        } else {
+          clients.computeIfAbsent(party, p -> new RpcClient()).step(verb, rest);
+        }
+      }
+      case 'h' -> invoke(party, verb, rest);
+      case 'l' -> change(rest[0], rest[1]);
+      default -> fail("no such party");
+    }
+  }
+
+  /** A further worker comes up, and the front end has been told of it when this returns. */
+  void join(String name) throws IOException {
+    long before = server.counters().get(Count.LIST_CHANGES);
+    workers.put(name, new Worker());
+    change(name, "in_service");
+    awaitListChange(before);
+  }
+
+  /** Waits for the event that one more change of the list was taken in. */
+  void awaitListChange(long before) {
+    long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(PATIENCE_SECONDS);
+    while (server.counters().get(Count.LIST_CHANGES) <= before) {
+      assertTrue("the list did not change", System.nanoTime() < end);
+      Thread.onSpinWait();
+    }
+  }
+
+  /** One call of a mix of both styles and classes; the status of its final answer. */
+  CompletableFuture<String> mixed(int i) {
+    boolean deferred = i % 2 == 0;
+    String base = "http://" + LOOPBACK + ":" + server.invokePort();
+    HttpRequest.Builder r = HttpRequest.newBuilder(URI.create(base + "/v1/functions/7f3a9c21e0b4d65" + i % 8
+        + "/invocations")).header("Invoke-Class", i % 3 == 0 ? "slot-change" : "date-lookup")
+        .header("Invoke-Tenant", "central-council").header("Idempotency-Key", "key-" + i)
+        .POST(HttpRequest.BodyPublishers.ofString("call " + i));
+    if (deferred) {
+      r.header("Prefer", "respond-async");
+    }
+    return http.sendAsync(r.build(), HttpResponse.BodyHandlers.ofString()).thenCompose(x -> x.statusCode() != 202
+        ? CompletableFuture.completedFuture(x)
+        : http.sendAsync(HttpRequest.newBuilder(URI.create(base + x.headers().firstValue("Location").orElseThrow()))
+            .header("Prefer", "wait=9").build(), HttpResponse.BodyHandlers.ofString()))
+        .thenApply(x -> Integer.toString(x.statusCode()));
+  }
+
+  Worker worker(String name) {
+    return workers.get(name);
+  }
+
+  // ---------------------------------------------------------------- workers
+
+  private void worker(String name, String verb, String[] words) throws Exception {
+    Worker w = workers.get(name);
+    switch (verb) {
+      case "expect" -> w.expect(words);
+      case "send" -> w.send(words);
+      case "close" -> w.close();
+      case "wait" -> assertTrue("nothing was to come", w.commands.poll(Long.parseLong(words[0]),
+          TimeUnit.MILLISECONDS) == null);
+      default -> fail("no such verb");
+    }
+  }
+
+  /** A command that a worker got, and the connection that its answer goes to. */
+  record Command(List<String> words, Socket from) { }
+
+  /** A stand-in for a worker; {@code answersAll} has it serve every RUN at once. */
+  static final class Worker {
+    final ServerSocket listener;
+    final BlockingQueue<Command> commands = new LinkedBlockingQueue<>();
+    private final List<Socket> sockets = new ArrayList<>();
+    private Command last;
+    volatile boolean answersAll;
+
+    Worker() throws IOException {
+      listener = new ServerSocket(0, 50, InetAddress.getByName(LOOPBACK));
+      daemon(() -> {
+        while (true) {
+          Socket s = listener.accept();
+          sockets.add(s);
+          daemon(() -> read(s));
+        }
+      });
+    }
+
+    private void read(Socket s) throws IOException {
+      DataInputStream in = new DataInputStream(new java.io.BufferedInputStream(s.getInputStream()));
+      while (true) {
+        List<String> words = new ArrayList<>();
+        for (int n = Integer.parseInt(line(in).substring(1)); n > 0; n--) {
+          words.add(new String(in.readNBytes(Integer.parseInt(line(in).substring(1))),
+              StandardCharsets.ISO_8859_1));
+          line(in);
+        }
+        Command c = new Command(words, s);
+        if (answersAll && words.get(0).equals("RUN")) {
+          answer(c, "200", "n=w", words.get(3));
+        }
+        commands.add(c);
+      }
+    }
+
+    private static String line(DataInputStream in) throws IOException {
+      StringBuilder b = new StringBuilder();
+      for (int c; (c = in.read()) != '\r';) {
+        if (c < 0) {
+          throw new IOException("closed");
+        }
+        b.append((char) c);
+      }
+      in.read();
+      return b.toString();
+    }
+
+    void expect(String... words) throws InterruptedException {
+      last = commands.poll(PATIENCE_SECONDS, TimeUnit.SECONDS);
+      assertNotNull("nothing came", last);
+      String all = String.join(" ", last.words);
+      for (String word : words) {
+        assertTrue(all + " lacks " + word, all.contains(word));
+      }
+    }
+
+    /** Answers the last command: a word, fields and a body; or 'raw' bytes in hex. */
+    void send(String... words) throws IOException {
+      if (words[0].equals("raw")) {
+        last.from.getOutputStream().write(HexFormat.of().parseHex(words[1]));
+      } else {
+        answer(last, words[0], words.length > 1 ? words[1] : "-", words.length > 2 ? words[2] : "");
+      }
+    }
+
+    private static void answer(Command c, String word, String fields, String body) throws IOException {
+      StringBuilder b = new StringBuilder("*4\r\n");
+      for (String part : List.of(c.words.get(1), word, fields, body)) {
+        b.append('$').append(part.length()).append("\r\n").append(part).append("\r\n");
+      }
+      synchronized (c.from) {
+        c.from.getOutputStream().write(b.toString().getBytes(StandardCharsets.ISO_8859_1));
+      }
+    }
+
+    /** Closes the listener and every connection. */
+    void close() throws IOException {
+      listener.close();
+      for (Socket s : sockets) {
+        s.close();
+      }
+    }
+  }
+
+  // ---------------------------------------------------------------- clients of the platform's protocol
+
+  private final class RpcClient {
+    private final Socket socket;
+    private final MessageUnpacker in;
+
+    RpcClient() {
+      try {
+        socket = new Socket(LOOPBACK, server.rpcPort());
+        socket.setSoTimeout((int) TimeUnit.SECONDS.toMillis(PATIENCE_SECONDS));
+        in = MessagePack.newDefaultUnpacker(socket.getInputStream());
+      } catch (IOException e) {
+        throw new AssertionError(e);
+      }
+    }
+
+    void step(String verb, String[] words) throws Exception {
+      switch (verb) {
+        case "send" -> socket.getOutputStream().write(message(words));
+        case "expect" -> {
+          if (words[0].equals("close")) {
+            assertEquals("still open", -1, socket.getInputStream().read());
+            return;
+          }
+          Value v = in.unpackValue();
+          for (String word : words) {
+            assertTrue(v + " lacks " + word, v.toString().contains(word));
+          }
+        }
+        case "close" -> socket.close();
+        default -> fail("no such verb");
+      }
+    }
+
+    /** {@code id class name=value ... body=text}, {@code revoke id}, or {@code raw hex}. */
+    private byte[] message(String[] words) throws IOException {
+      if (words[0].equals("raw")) {
+        return HexFormat.of().parseHex(words[1]);
+      }
+      var out = MessagePack.newDefaultBufferPacker();
+      if (words[0].equals("revoke")) {
+        out.packArrayHeader(3).packInt(2).packString("revoke").packArrayHeader(1).packLong(Long.parseLong(words[1]));
+        return out.toByteArray();
+      }
+      Map<String, String> f = new HashMap<>(Map.of("rid", "9b1f03aa5c7e2d4" + words[0].charAt(0), "budget", "1500",
+          "acct", "central-council", "obj", "7f3a9c21e0b4d655", "info", "memory_mb:512;lanes:2;load_ms:100"));
+      if (words[1].equals("slot-change")) {
+        f.put("token", "5c0f6e1a2b3d4c59a8b7c6d5e4f30211");
+      }
+      for (int i = 2; i < words.length; i++) {
+        String[] pair = words[i].split("=", 2);
+        f.put(pair[0], pair[1]);
+      }
+      String size = f.remove("size");
+      byte[] body = size != null ? new byte[Integer.parseInt(size)]
+          : f.getOrDefault("body", "").getBytes(StandardCharsets.ISO_8859_1);
+      f.remove("body");
+      f.values().removeIf("none"::equals);
+      out.packArrayHeader(4).packInt(0).packLong(Long.parseLong(words[0])).packString(words[1]).packArrayHeader(2)
+          .packMapHeader(f.size());
+      for (Map.Entry<String, String> e : f.entrySet()) {
+        out.packString(e.getKey()).packString(e.getValue());
+      }
+      out.packBinaryHeader(body.length).writePayload(body);
+      return out.toByteArray();
+    }
+  }
+
+  // ---------------------------------------------------------------- clients of the invoke API
+
+  /** {@code METHOD path Header:value ... =body}; {@code @} as the path is the last Location. */
+  private void invoke(String party, String verb, String[] words) throws Exception {
+    if (verb.equals("send")) {
+      HttpRequest.Builder r = HttpRequest.newBuilder(URI.create("http://" + LOOPBACK + ":" + server.invokePort()
+          + (words[1].equals("@") ? location : words[1])));
+      String body = "";
+      for (int i = 2; i < words.length; i++) {
+        String[] pair = words[i].split(":", 2);
+        if (words[i].startsWith("=")) {
+          body = words[i].substring(1);
+        } else if (pair[0].equals("size")) {
+          body = "x".repeat(Integer.parseInt(pair[1]));
+        } else {
+          r.header(pair[0], pair[1]);
+        }
+      }
+      r.method(words[0], HttpRequest.BodyPublishers.ofString(body));
+      asked.put(party, http.sendAsync(r.build(), HttpResponse.BodyHandlers.ofByteArray()));
+    } else if (verb.equals("expect")) {
+      HttpResponse<byte[]> r = asked.get(party).get(PATIENCE_SECONDS, TimeUnit.SECONDS);
+      String all = r.statusCode() + " " + r.headers().map() + " " + new String(r.body(), StandardCharsets.UTF_8);
+      location = r.headers().firstValue("Location").orElse(location);
+      for (String word : words) {
+        assertTrue(all + " lacks " + word, all.contains(word));
+      }
+      assertTrue(all, all.startsWith(words[0]));
+    } else if (verb.equals("close")) {
+      asked.get(party).cancel(true);
+    }
+  }
+
+  // ---------------------------------------------------------------- the change log, Consul
+
+  private void change(String worker, String state) {
+    synchronized (events) {
+      int seq = events.size() + 1;
+      events.add("{\"seq\":" + seq + ",\"fleet\":{\"snapshot\":" + (seq == 1) + ",\"endpoints\":[{\"name\":\""
+          + worker + "\",\"address\":\"" + LOOPBACK + ":" + workers.get(worker).listener.getLocalPort()
+          + "\",\"zone\":\"" + zone(worker) + "\",\"type\":\"std-2\",\"group\":0,\"status\":\"" + state
+          + "\",\"weight\":1,\"since_ms\":0}]}}");
+      events.notifyAll();
+    }
+  }
+
+  private static String zone(String worker) {
+    return worker.startsWith("w") ? "hall-a" : "hall-b";
+  }
+
+  private String changesSince(int seen) {
+    synchronized (events) {
+      return "{\"seq\":" + events.size() + ",\"results\":[" + String.join(",",
+          events.subList(Math.min(seen, events.size()), events.size())) + "]}";
+    }
+  }
+
+  private void changes(HttpExchange x) throws IOException {
+    int since = Integer.parseInt(x.getRequestURI().getQuery().split("[=&]")[1]);
+    synchronized (events) {
+      try {
+        if (events.size() <= since) {
+          events.wait(1_000);
+        }
+      } catch (InterruptedException e) {
+        Thread.currentThread().interrupt();
+      }
+    }
+    reply(x, changesSince(since));
+  }
+
+  private static void reply(HttpExchange x, String text) throws IOException {
+    byte[] body = text.getBytes(StandardCharsets.UTF_8);
+    x.sendResponseHeaders(200, body.length == 0 ? -1 : body.length);
+    x.getResponseBody().write(body);
+    x.close();
+  }
+
+  /** {@code send w1 critical}, {@code send w1 gone}, or {@code expect word ...} of what was registered. */
+  private void consulStep(String verb, String[] words) throws InterruptedException {
+    if (verb.equals("expect")) {
+      String text = registered.poll(PATIENCE_SECONDS, TimeUnit.SECONDS);
+      assertNotNull("nothing was registered", text);
+      for (String word : words) {
+        assertTrue(text + " lacks " + word, text.contains(word));
+      }
+      return;
+    }
+    synchronized (consulWorkers) {
+      consulWorkers.removeIf(w -> w.startsWith(words[0] + " "));
+      if (!words[1].equals("gone")) {
+        consulWorkers.add(words[0] + " " + words[1]);
+      }
+      consulIndex++;
+      consulWorkers.notifyAll();
+    }
+  }
+
+  private void consul(HttpExchange x) throws IOException {
+    String path = x.getRequestURI().getPath();
+    if (path.startsWith("/v1/agent/")) {
+      ByteArrayOutputStream body = new ByteArrayOutputStream();
+      x.getRequestBody().transferTo(body);
+      registered.add(path + " " + body);
+      reply(x, "");
+      return;
+    }
+    synchronized (consulWorkers) {
+      boolean health = path.startsWith("/v1/health/");
+      try {
+        if (health && x.getRequestURI().getQuery().startsWith("index=" + consulIndex + "&")) {
+          consulWorkers.wait(1_000);
+        }
+      } catch (InterruptedException e) {
+        Thread.currentThread().interrupt();
+      }
+      List<String> lines = new ArrayList<>();
+      for (String w : consulWorkers) {
+        String[] words = w.split(" ");
+        int port = workers.get(words[0]).listener.getLocalPort();
+        lines.add(health ? "{\"Node\":{\"Address\":\"127.0.0.1\"},\"Service\":{\"ID\":\"" + words[0]
+            + "\",\"Address\":\"\",\"Port\":" + port + "},\"Checks\":[{\"Status\":\"" + words[1] + "\"}]}"
+            : "{\"ServiceID\":\"" + words[0] + "\",\"ServiceMeta\":{\"zone\":\"" + zone(words[0])
+            + "\",\"kind\":\"std-2\"}}");
+      }
+      x.getResponseHeaders().add("X-Consul-Index", Integer.toString(consulIndex));
+      reply(x, "[" + String.join(",", lines) + "]");
+    }
+  }
+
+  // ---------------------------------------------------------------- small parts
+
+  private interface Loop {
+    void run() throws IOException;
+  }
+
+  private static void daemon(Loop loop) {
+    Thread t = new Thread(() -> {
+      try {
+        loop.run();
+      } catch (IOException e) {
+        // the other side has closed
+      }
+    });
+    t.setDaemon(true);
+    t.start();
+  }
+
+  @Override
+  public void close() throws Exception {
+    server.close().toCompletionStage().toCompletableFuture().get(PATIENCE_SECONDS, TimeUnit.SECONDS);
+    for (Worker w : workers.values()) {
+      w.close();
+    }
+    roll.stop(0);
+  }
+}
