--- a/src/main/java/saddlestall/Choice.java
+++ b/src/main/java/saddlestall/Choice.java
@@ -475,7 +475,7 @@
 
   /** The draw passes over a worker whose load would outlast its time left; a rumour of a copy is no proof. */
   private boolean outlasts(Open call, Worker w) {
-    return belief(call.function, w) <= RUMOUR && loadWait(call, w) >= call.deadline - now;
+    return belief(call.function, w) <= RUMOUR && loadWait(call, w) + unit(call) >= call.deadline - now;
   }
 
   private boolean beginsLoad(Open call, Worker w) {
