Let the scenarios' dead worker refuse connections from the start

Cause: closing a listener while its thread accepts leaves a moment in which the kernel still takes a connection that nobody reads. The stand-in's port is now closed before the front end starts.

--- a/src/test/java/umberrun/RpcScenariosTest.java
+++ b/src/test/java/umberrun/RpcScenariosTest.java
@@ -39,8 +39,7 @@
 
   @Test
   public void aCallThatNeverRanGoesToAnotherWorker() throws Exception {
-    try (Scenario s = Scenario.of("w1", "w2")) {
-      s.worker("w1").close(); // refuses connections: nothing ran there
+    try (Scenario s = Scenario.of("w1-down", "w2")) { // what refuses connections has run nothing
       s.worker("w2").answersAll = true;
       for (int i = 1; i <= 6; i++) {
         s.play("c1 send " + i + " slot-change\nc1 expect [1," + i + ",null");
--- a/src/test/java/umberrun/Scenario.java
+++ b/src/test/java/umberrun/Scenario.java
@@ -84,7 +84,7 @@
     roll.createContext("/v1/", this::consul);
     roll.start();
     for (String name : names) {
-      workers.put(name, new Worker());
+      workers.put(name, new Worker(name.endsWith("-down")));
       change(name, "in_service");
       consulWorkers.add(name + " passing");
     }
@@ -148,7 +148,7 @@
   /** A further worker comes up, and the front end has been told of it when this returns. */
   void join(String name) throws IOException {
     long before = server.counters().get(Count.LIST_CHANGES);
-    workers.put(name, new Worker());
+    workers.put(name, new Worker(false));
     change(name, "in_service");
     awaitListChange(before);
   }
@@ -209,8 +209,13 @@
     private Command last;
     volatile boolean answersAll;
 
-    Worker() throws IOException {
+    /** @param down refuses connections: its port is nobody's from the start */
+    Worker(boolean down) throws IOException {
       listener = new ServerSocket(0, 50, InetAddress.getByName(LOOPBACK));
+      if (down) {
+        listener.close();
+        return;
+      }
       daemon(() -> {
         while (true) {
           Socket s = listener.accept();
