--- a/src/test/java/umberrun/RpcScenariosTest.java
+++ b/src/test/java/umberrun/RpcScenariosTest.java
@@ -1,6 +1,7 @@
 package umberrun;
 
 import static org.junit.Assert.assertEquals;
+import static org.junit.Assert.assertTrue;
 
 import org.junit.Test;
 import umberrun.stats.Counters.Count;
@@ -187,6 +188,17 @@
     }
   }
 
+  /** A lost poll is repeated, and meanwhile the list that was told is kept. */
+  @Test
+  public void lostPollsOfTheChangeLogAreRepeated() throws Exception {
+    try (Scenario s = Scenario.of("w1")) {
+      s.losePolls(3);
+      s.play("c1 send 1 date-lookup\nw1 expect RUN\nw1 send 200 n=w\nc1 expect [1,1,null");
+      s.join("w2"); // returns once the front end was told
+      assertTrue(s.server.counters().get(Count.POLLS_LOST) >= 3);
+    }
+  }
+
   /** A planned restart: the heartbeat says so, and what was taken is finished. */
   @Test
   public void aDrainFinishesWhatWasTaken() throws Exception {
--- a/src/test/java/umberrun/Scenario.java
+++ b/src/test/java/umberrun/Scenario.java
@@ -68,6 +68,8 @@
   private final List<String> events = new ArrayList<>();
   private final List<String> consulWorkers = new ArrayList<>();
   private final BlockingQueue<String> registered = new LinkedBlockingQueue<>();
+  private final java.util.concurrent.atomic.AtomicInteger lostPolls =
+      new java.util.concurrent.atomic.AtomicInteger();
   private int consulIndex = 1;
   private String location;
   final Server server;
@@ -427,7 +429,17 @@
         Thread.currentThread().interrupt();
       }
     }
-    reply(x, changesSince(since));
+    if (lostPolls.getAndDecrement() > 0) {
+      x.sendResponseHeaders(500, -1);
+      x.close();
+    } else {
+      reply(x, changesSince(since));
+    }
+  }
+
+  /** The next polls of the change log get an error. */
+  void losePolls(int n) {
+    lostPolls.set(n);
   }
 
   private static void reply(HttpExchange x, String text) throws IOException {
