Follow the change log to its new address on SIGHUP, and time polls to their end

There was no handler for SIGHUP (Server.serve), so Java's default ends the process; under nohup the signal is ignored and the old address is asked for ever. Ruled out: order of events in Owner.list and Link.flush, which check the drain when writing.

Also proved: the poll's time-out (RequestOptions.setTimeout in Poller.ask) does not cover a body that stops midway. With it alone the new scenario aChangeLogThatStopsIsAskedAgain waits its whole 10 s and fails. A poll now has one timer from the request to the end of the body, and its connection goes with it; the wait asked for is 1 s instead of 4, so that a stopped log is asked again after 1.5 s. Breaks were asked again in time before (20 to 640 ms).

A bad new file keeps the old one, with a line in the log; counters configs_taken and configs_refused.

--- a/src/main/java/umberrun/Main.java
+++ b/src/main/java/umberrun/Main.java
@@ -12,7 +12,7 @@
   public static void main(String[] args) {
     if (args.length == 1 && args[0].equals("serve")) {
       try {
-        Server.serve(Config.read(System.getenv()));
+        Server.serve(Config.read(System.getenv()), System.getenv());
       } catch (BadConfig | IllegalArgumentException e) {
         System.err.println("umberrun: " + e.getMessage());
         System.exit(2);
--- a/src/main/java/umberrun/Server.java
+++ b/src/main/java/umberrun/Server.java
@@ -9,11 +9,13 @@
 import io.vertx.core.net.SocketAddress;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import saddlestall.Choice;
 import saddlestall.Dispatcher.CallClass;
 import umberrun.config.Config;
+import umberrun.config.Config.BadConfig;
 import umberrun.config.OperatorFile;
 import umberrun.core.Clock;
 import umberrun.core.Owner;
@@ -24,6 +26,7 @@
 import umberrun.roll.Consul;
 import umberrun.roll.Roll;
 import umberrun.stats.Counters;
+import umberrun.stats.Counters.Count;
 import sun.misc.Signal;
 import umberrun.worker.WorkerPool;
 
@@ -44,6 +47,7 @@
   private RpcFront rpc;
   private InvokeFront invoke;
   private final List<Roll> rolls = new ArrayList<>();
+  private ChangeLog changeLog;
   private boolean draining;
   private volatile boolean fit;
   private int rpcPort;
@@ -59,18 +63,41 @@
   }
 
   /** Serves until the process is told to end. */
-  static void serve(Config config) {
+  static void serve(Config config, Map<String, String> env) {
     Server server = new Server(config);
+    server.heed(env);
     Rehearsal.module(config.settings());
     Rehearsal.framing();
     server.open().onSuccess(v -> log(config.name() + " listens on " + config.listen())).onFailure(e -> {
       System.err.println("umberrun: can't start: " + e.getMessage());
       Runtime.getRuntime().halt(2);
     });
-    Signal.handle(new Signal("USR2"), s -> server.context.runOnContext(v -> log(server.counters.line())));
     Runtime.getRuntime().addShutdownHook(new Thread(server::drain, "drain"));
   }
 
+  /** Takes the signals that do not end the process: unheeded, each of them would. */
+  void heed(Map<String, String> env) {
+    Signal.handle(new Signal("HUP"), s -> reload(env));
+    Signal.handle(new Signal("USR2"), s -> context.runOnContext(v -> log(counters.line())));
+  }
+
+  /** Reads the configuration again. While running only the change log may move; a file that is bad changes nothing. */
+  private void reload(Map<String, String> env) {
+    try {
+      SocketAddress address = Config.read(env).changelog();
+      context.runOnContext(v -> {
+        if (changeLog != null && address != null) {
+          changeLog.moveTo(address);
+        }
+        counters.add(Count.CONFIGS_TAKEN);
+        log("configuration read again, the change log is at " + address);
+      });
+    } catch (BadConfig | RuntimeException e) { // guards against a file that is half written or wrong
+      context.runOnContext(v -> counters.add(Count.CONFIGS_REFUSED));
+      log("configuration kept as it was: " + e.getMessage());
+    }
+  }
+
   /** Brings all parts up; done once calls are welcome. */
   Future<Void> open() {
     Promise<Void> opened = Promise.promise();
@@ -85,7 +112,7 @@
         o -> new WorkerPool(vertx, clock, counters, config.settings(), config.names(), config.sockets()));
     OperatorFile operator = config.operator();
     if (config.changelog() != null && (operator == null || !operator.listsWorkers())) {
-      ChangeLog changeLog = new ChangeLog(vertx, config.changelog(), owner, config.names(), counters);
+      changeLog = new ChangeLog(vertx, config.changelog(), owner, config.names(), counters);
       changeLog.known(config.known());
       rolls.add(changeLog);
     }
--- a/src/main/java/umberrun/roll/ChangeLog.java
+++ b/src/main/java/umberrun/roll/ChangeLog.java
@@ -22,7 +22,8 @@
 
 /** The platform's change log, asked again as soon as it has answered. A lost poll is repeated; the list stays. */
 public final class ChangeLog implements Roll {
-  private static final long POLL_MILLIS = 4_000;
+  /** Short, since a log that stops is only noticed when the wait is over. */
+  private static final long POLL_MILLIS = 1_000;
 
   private final Poller poller;
   private final Owner owner;
@@ -49,6 +50,11 @@
         }));
   }
 
+  /** The log answers at another address from now on; its numbers go on. */
+  public void moveTo(SocketAddress address) {
+    poller.moveTo(address);
+  }
+
   private void take(JsonObject events) {
     if (events.get("results") instanceof JsonArray results) {
       for (JsonElement e : results) {
--- a/src/main/java/umberrun/roll/Poller.java
+++ b/src/main/java/umberrun/roll/Poller.java
@@ -4,6 +4,7 @@
 import com.google.gson.JsonParseException;
 import com.google.gson.JsonParser;
 import io.vertx.core.Future;
+import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClient;
@@ -16,20 +17,27 @@
 import umberrun.stats.Counters;
 import umberrun.stats.Counters.Count;
 
-/** Asks a server that answers late, over and over: at once when it has answered, after a wait when it has not. */
+/**
+ * Asks a server that answers late, over and over: at once when it has answered, after a wait when it has not. A
+ * round that is not over in time, or whose server has moved, is given up whatever it waits for.
+ */
 final class Poller {
   /** One round: asks, and takes in what was answered. */
   interface Round extends Supplier<Future<Void>> { }
 
-  private static final long SLACK_MILLIS = 1_000;
+  private static final long SLACK_MILLIS = 500;
   private static final long FIRST_RETRY_MILLIS = 20;
   private static final long LAST_RETRY_MILLIS = 640;
 
   private final Vertx vertx;
   private final HttpClient client;
-  private final SocketAddress address;
   private final Counters counters;
+  private SocketAddress address;
   private long retryMillis = FIRST_RETRY_MILLIS;
+  /** The round that is repeated: its end, which may come early, and the wait for the next. */
+  private Promise<Void> round = Promise.promise();
+  private long retryTimer = -1;
+  private Runnable retry;
 
   Poller(Vertx vertx, SocketAddress address, Counters counters) {
     this.vertx = vertx;
@@ -40,15 +48,37 @@
 
   /** Repeats a round as long as the process lives. */
   void repeat(Round round) {
-    attempt(round).onComplete(v -> {
+    this.round = Promise.promise();
+    this.round.future().onComplete(v -> {
       retryMillis = FIRST_RETRY_MILLIS;
       repeat(round);
     }, e -> retryLater(() -> repeat(round)));
+    Promise<Void> end = this.round;
+    attempt(round).onComplete(v -> end.tryComplete(), end::tryFail);
   }
 
   /** Carries a round out once, however many tries that takes. */
   void once(Round round) {
-    attempt(round).onFailure(e -> retryLater(() -> once(round)));
+    attempt(round).onFailure(e -> {
+      counters.add(Count.POLLS_LOST);
+      vertx.setTimer(LAST_RETRY_MILLIS, t -> once(round));
+    });
+  }
+
+  /** The server answers elsewhere from now on: it is asked there at once, since the old one may stay silent. */
+  void moveTo(SocketAddress to) {
+    if (to.equals(address)) {
+      return;
+    }
+    address = to;
+    retryMillis = 0;
+    if (retryTimer >= 0) {
+      vertx.cancelTimer(retryTimer);
+      retryTimer = -1;
+      retry.run();
+    } else {
+      round.tryFail("the server has moved");
+    }
   }
 
   /** Guards the polling against an answer of another form than expected: it counts as lost. */
@@ -58,16 +88,32 @@
 
   private void retryLater(Runnable again) {
     counters.add(Count.POLLS_LOST);
-    vertx.setTimer(retryMillis, t -> again.run());
-    retryMillis = Math.min(LAST_RETRY_MILLIS, 2 * retryMillis);
+    retry = again;
+    retryTimer = vertx.setTimer(Math.max(1, retryMillis), t -> {
+      retryTimer = -1;
+      again.run();
+    });
+    retryMillis = Math.min(LAST_RETRY_MILLIS, Math.max(FIRST_RETRY_MILLIS, 2 * retryMillis));
   }
 
-  /** One request; the answer if its status is 200, with its body read. */
+  /**
+   * One request; the answer if its status is 200, with its body read. The time allowed covers the body too, and
+   * the connection goes with it: guards against an answer that stops midway and stays open.
+   */
   Future<Answer> ask(HttpMethod method, String uri, Buffer body, long millis) {
-    return client.request(new RequestOptions().setServer(address).setHost(address.host()).setPort(address.port())
-            .setMethod(method).setURI(uri).setTimeout(millis + SLACK_MILLIS))
-        .compose(r -> r.send(body)).compose(r -> r.statusCode() == 200 ? r.body().map(b -> new Answer(r, b))
-            : Future.failedFuture("status " + r.statusCode()));
+    Promise<Answer> answer = Promise.promise();
+    long timer = vertx.setTimer(millis + SLACK_MILLIS, t -> answer.tryFail("not answered in time"));
+    client.request(new RequestOptions().setServer(address).setHost(address.host()).setPort(address.port())
+            .setMethod(method).setURI(uri))
+        .compose(r -> {
+          answer.future().onFailure(e -> r.connection().close());
+          round.future().onFailure(e -> r.connection().close());
+          return r.send(body);
+        })
+        .compose(r -> r.statusCode() == 200 ? r.body().map(b -> new Answer(r, b))
+            : Future.failedFuture("status " + r.statusCode()))
+        .onComplete(answer::tryComplete, answer::tryFail);
+    return answer.future().onComplete(a -> vertx.cancelTimer(timer));
   }
 
   record Answer(HttpClientResponse response, Buffer body) {
--- a/src/test/java/umberrun/InvokeScenariosTest.java
+++ b/src/test/java/umberrun/InvokeScenariosTest.java
@@ -108,14 +108,14 @@
   public void consulListsTheWorkersAndKnowsOfUs() throws Exception {
     try (Scenario s = new Scenario(true, "{}", "w1", "w2")) {
       s.play("consul expect /v1/agent/service/register umberrun-n1 /v1/health");
-      s.awaitListChange(0);
+      s.await(Count.LIST_CHANGES, 0);
       s.play("consul send w1 critical");
-      s.awaitListChange(1);
+      s.await(Count.LIST_CHANGES, 1);
       for (int i = 1; i <= 4; i++) {
         s.play("h1 " + LOOKUP + "\nw2 expect RUN\nw2 send 200 n=w\nh1 expect 200");
       }
       s.play("consul send w2 gone\n");
-      s.awaitListChange(2);
+      s.await(Count.LIST_CHANGES, 2);
       s.play("h1 " + LOOKUP + "Prefer:wait=1\nh1 expect 503\nw1 wait 1");
     }
   }
--- a/src/test/java/umberrun/RpcScenariosTest.java
+++ b/src/test/java/umberrun/RpcScenariosTest.java
@@ -4,6 +4,7 @@
 import static org.junit.Assert.assertTrue;
 
 import org.junit.Test;
+import umberrun.Scenario.Spoilt;
 import umberrun.stats.Counters.Count;
 
 /** The platform's front and the way to the workers, from socket to socket. */
@@ -108,7 +109,7 @@
     try (Scenario s = Scenario.of("w1", "w2")) {
       s.worker("w2").answersAll = true;
       s.play("log send w1 terminating");
-      s.awaitListChange(2);
+      s.await(Count.LIST_CHANGES, 2);
       for (int i = 1; i <= 8; i++) {
         s.play("c1 send " + i + " date-lookup\nc1 expect [1," + i + ",null");
       }
@@ -192,13 +193,47 @@
   @Test
   public void lostPollsOfTheChangeLogAreRepeated() throws Exception {
     try (Scenario s = Scenario.of("w1")) {
-      s.losePolls(3);
+      s.spoilPolls(Spoilt.ERROR, Spoilt.BROKEN, Spoilt.BROKEN);
       s.play("c1 send 1 date-lookup\nw1 expect RUN\nw1 send 200 n=w\nc1 expect [1,1,null");
       s.join("w2"); // returns once the front end was told
       assertTrue(s.server.counters().get(Count.POLLS_LOST) >= 3);
     }
   }
 
+  /** An answer of the change log that stops midway and stays open is not waited for. */
+  @Test
+  public void aChangeLogThatStopsIsAskedAgain() throws Exception {
+    try (Scenario s = Scenario.of("w1")) {
+      s.spoilPolls(Spoilt.STALLED);
+      s.join("w2");
+      s.spoilPolls(Spoilt.SILENT);
+      s.join("w3");
+    }
+  }
+
+  /** On SIGHUP the change log is asked where the new file says, from the number that was reached. */
+  @Test
+  public void aNewConfigurationMovesTheChangeLog() throws Exception {
+    try (Scenario s = Scenario.of("w1")) {
+      long polls = s.server.counters().get(Count.LIST_CHANGES);
+      s.moveRoll();
+      s.join("w2");
+      s.moveRoll();
+      s.join("w3");
+      assertEquals("each event is taken in once", polls + 2, s.server.counters().get(Count.LIST_CHANGES));
+    }
+  }
+
+  /** A new file that can't be served changes nothing, and the process goes on. */
+  @Test
+  public void aBadNewConfigurationKeepsTheOld() throws Exception {
+    try (Scenario s = Scenario.of("w1")) {
+      s.reload("{\"changelog\":\"127.0.0.1:1", Count.CONFIGS_REFUSED);
+      s.reload("{\"changelog\":\"nowhere\"}", Count.CONFIGS_REFUSED);
+      s.join("w2");
+    }
+  }
+
   /** A planned restart: the heartbeat says so, and what was taken is finished. */
   @Test
   public void aDrainFinishesWhatWasTaken() throws Exception {
--- a/src/test/java/umberrun/Scenario.java
+++ b/src/test/java/umberrun/Scenario.java
@@ -35,6 +35,7 @@
 import org.msgpack.core.MessagePack;
 import org.msgpack.core.MessageUnpacker;
 import org.msgpack.value.Value;
+import sun.misc.Signal;
 import umberrun.config.Config;
 import umberrun.stats.Counters.Count;
 
@@ -64,33 +65,24 @@
   private final Map<String, RpcClient> clients = new HashMap<>();
   private final Map<String, CompletableFuture<HttpResponse<byte[]>>> asked = new HashMap<>();
   private final HttpClient http = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
-  private final HttpServer roll;
+  private final Map<String, String> env;
+  private HttpServer roll;
   private final List<String> events = new ArrayList<>();
   private final List<String> consulWorkers = new ArrayList<>();
   private final BlockingQueue<String> registered = new LinkedBlockingQueue<>();
-  private final java.util.concurrent.atomic.AtomicInteger lostPolls =
-      new java.util.concurrent.atomic.AtomicInteger();
+  private final BlockingQueue<Spoilt> spoilt = new LinkedBlockingQueue<>();
   private int consulIndex = 1;
   private String location;
   final Server server;
 
   /** Starts a front end with these workers; {@code consul} has them listed there instead of in the change log. */
   Scenario(boolean consul, String operatorDeferred, String... names) throws Exception {
-    roll = HttpServer.create(new InetSocketAddress(LOOPBACK, 0), 0);
-    roll.setExecutor(java.util.concurrent.Executors.newCachedThreadPool(r -> {
-      Thread t = new Thread(r);
-      t.setDaemon(true);
-      return t;
-    }));
-    roll.createContext("/changes", this::changes);
-    roll.createContext("/v1/", this::consul);
-    roll.start();
+    roll = roll();
     for (String name : names) {
       workers.put(name, new Worker(name.endsWith("-down")));
       change(name, "in_service");
       consulWorkers.add(name + " passing");
     }
-    String rollAddress = LOOPBACK + ":" + roll.getAddress().getPort();
     JsonObject operator = new JsonObject();
     JsonObject invoke = new JsonObject();
     invoke.addProperty("listen", LOOPBACK + ":0");
@@ -98,20 +90,56 @@
     operator.add("deferred", com.google.gson.JsonParser.parseString(operatorDeferred));
     if (consul) {
       JsonObject c = new JsonObject();
-      c.addProperty("agent", rollAddress);
+      c.addProperty("agent", rollAddress());
       c.addProperty("workers", "route-workers");
       operator.add("consul", c);
     }
     Path file = Files.writeString(Files.createTempFile("operator", ".json"), operator.toString());
-    Path main = Files.writeString(Files.createTempFile("config", ".json"),
-        "{\"name\":\"n1\",\"listen\":\"127.0.0.1:0\",\"seed\":\"1\",\"limits\":{\"sockets\":8192},\"changelog\":\""
-            + rollAddress + "\",\"known\":" + changesSince(0) + ",\"settings\":" + SETTINGS + "}");
-    server = new Server(Config.read(Map.of("EDGE_CONFIG", main.toString(), "UMBERRUN_OPERATOR", file.toString())));
-    Files.delete(main);
-    Files.delete(file);
+    Path main = Files.writeString(Files.createTempFile("config", ".json"), config());
+    file.toFile().deleteOnExit();
+    main.toFile().deleteOnExit();
+    env = Map.of("EDGE_CONFIG", main.toString(), "UMBERRUN_OPERATOR", file.toString());
+    server = new Server(Config.read(env));
+    server.heed(env);
     server.open().toCompletionStage().toCompletableFuture().get(PATIENCE_SECONDS, TimeUnit.SECONDS);
   }
 
+  private HttpServer roll() throws IOException {
+    HttpServer server = HttpServer.create(new InetSocketAddress(LOOPBACK, 0), 0);
+    server.setExecutor(java.util.concurrent.Executors.newCachedThreadPool(r -> {
+      Thread t = new Thread(r);
+      t.setDaemon(true);
+      return t;
+    }));
+    server.createContext("/changes", this::changes);
+    server.createContext("/v1/", this::consul);
+    server.start();
+    return server;
+  }
+
+  private String rollAddress() {
+    return LOOPBACK + ":" + roll.getAddress().getPort();
+  }
+
+  private String config() {
+    return "{\"name\":\"n1\",\"listen\":\"127.0.0.1:0\",\"seed\":\"1\",\"limits\":{\"sockets\":8192},\"changelog\":\""
+        + rollAddress() + "\",\"known\":" + changesSince(0) + ",\"settings\":" + SETTINGS + "}";
+  }
+
+  /** The change log answers elsewhere from now on, and the configuration says where. The old one stays silent. */
+  void moveRoll() throws Exception {
+    roll = roll();
+    reload(config(), Count.CONFIGS_TAKEN);
+  }
+
+  /** Puts another configuration in place and sends the signal; returns once {@code outcome} was counted. */
+  void reload(String config, Count outcome) throws Exception {
+    long before = server.counters().get(outcome);
+    Files.writeString(Path.of(env.get("EDGE_CONFIG")), config);
+    Signal.raise(new Signal("HUP"));
+    await(outcome, before);
+  }
+
   static Scenario of(String... workers) throws Exception {
     return new Scenario(false, "{}", workers);
   }
@@ -148,19 +176,19 @@
   }
 
   /** A further worker comes up, and the front end has been told of it when this returns. */
-  void join(String name) throws IOException {
+  void join(String name) throws Exception {
     long before = server.counters().get(Count.LIST_CHANGES);
     workers.put(name, new Worker(false));
     change(name, "in_service");
-    awaitListChange(before);
+    await(Count.LIST_CHANGES, before);
   }
 
-  /** Waits for the event that one more change of the list was taken in. */
-  void awaitListChange(long before) {
+  /** Waits for the event that more was counted than before. */
+  void await(Count count, long before) throws InterruptedException {
     long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(PATIENCE_SECONDS);
-    while (server.counters().get(Count.LIST_CHANGES) <= before) {
-      assertTrue("the list did not change", System.nanoTime() < end);
-      Thread.onSpinWait();
+    while (server.counters().get(count) <= before) {
+      assertTrue("nothing more of " + count, System.nanoTime() < end);
+      Thread.sleep(1);
     }
   }
 
@@ -429,17 +457,29 @@
         Thread.currentThread().interrupt();
       }
     }
-    if (lostPolls.getAndDecrement() > 0) {
+    Spoilt how = x.getHttpContext().getServer() == roll ? spoilt.poll() : Spoilt.SILENT;
+    String text = changesSince(since);
+    if (how == null) {
+      reply(x, text);
+    } else if (how == Spoilt.ERROR) {
       x.sendResponseHeaders(500, -1);
       x.close();
-    } else {
-      reply(x, changesSince(since));
+    } else if (how != Spoilt.SILENT) {
+      x.sendResponseHeaders(200, text.length());
+      x.getResponseBody().write(text.substring(0, text.length() / 2).getBytes(StandardCharsets.UTF_8));
+      x.getResponseBody().flush();
+      if (how == Spoilt.BROKEN) {
+        x.close();
+      }
     }
   }
 
-  /** The next polls of the change log get an error. */
-  void losePolls(int n) {
-    lostPolls.set(n);
+  /** What may become of a poll of the change log: an error, half an answer and then a close or nothing, nothing. */
+  enum Spoilt { ERROR, BROKEN, STALLED, SILENT }
+
+  /** The next polls of the change log come to this. */
+  void spoilPolls(Spoilt... how) {
+    spoilt.addAll(List.of(how));
   }
 
   private static void reply(HttpExchange x, String text) throws IOException {
