Close clients and worker links that stop midway, and keep room for newcomers

Read in the source and proved by scenarios that fail without the change: RpcFront waited 60 s on silence and on half a message, and at its cap closed newcomers while silent connections stayed; nothing kept one rid from being open twice, though workers could not tell the two apart; an answer that stopped midway kept its link and all that was out on it until each deadline (Link.expired retires only a link that heard nothing); a line without an end was read up to 1 MB; a second copy of a 503 ended the next attempt of the same rid on that link as full; WorkerPool kept each gone worker that had no link. WorkerPool.update threw where the drain grace was under 0.2 s (a timer of less than 1 ms).

RpcDecoder parses in place now instead of copying the rest for each message.

--- a/src/main/java/umberrun/front/rpc/RpcConnection.java
+++ b/src/main/java/umberrun/front/rpc/RpcConnection.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import umberrun.core.Call;
 import umberrun.core.Reply;
+import umberrun.core.Request;
 import umberrun.front.CallFields.BadField;
 import umberrun.stats.Counters.Count;
 
@@ -14,12 +15,23 @@
   private static final int MOST_OPEN = 32;
   private static final int QUEUE_BYTES = 64 << 10;
   private static final long CROWDED_BACKOFF_MILLIS = 100;
+  /** A message must be whole so long after its first byte, and the first one so long after connecting. */
+  private static final long WHOLE_MILLIS = 2_000;
+  /** A connection without an open request is closed after this; clients close theirs after 4 s. */
+  private static final long IDLE_MILLIS = 5_000;
+
+  /** A request that is owed an answer, and the id that it holds. */
+  private record Open(Call call, Buffer rid) { }
 
   private final RpcFront front;
   private final NetSocket socket;
   private final RpcDecoder decoder = new RpcDecoder(this::message);
-  private final Map<Long, Call> open = new HashMap<>();
+  private final Map<Long, Open> open = new HashMap<>();
+  private boolean greeted;
   private boolean closed;
+  /** The wait for the rest of a message, or for the next one while no request is open; -1 while there is none. */
+  private long timer = -1;
+  private boolean awaitsRest;
 
   RpcConnection(RpcFront front, NetSocket socket) {
     this.front = front;
@@ -29,6 +41,45 @@
     socket.closeHandler(v -> close());
     socket.exceptionHandler(e -> close());
     socket.drainHandler(v -> socket.resume());
+    await(WHOLE_MILLIS);
+  }
+
+  /** Whether nothing is lost by closing it: no request is open on it. */
+  boolean isIdle() {
+    return open.isEmpty();
+  }
+
+  /** Whether a whole message ever came. */
+  boolean isGreeted() {
+    return greeted;
+  }
+
+  /** Guards the descriptors against clients that say nothing, half of something, or hold on for good. */
+  private void watch() {
+    if (closed || decoder.isMidway() && awaitsRest) {
+      return;
+    }
+    stopWaiting();
+    awaitsRest = decoder.isMidway();
+    if (awaitsRest) {
+      await(WHOLE_MILLIS);
+    } else if (open.isEmpty()) {
+      await(IDLE_MILLIS);
+    }
+  }
+
+  private void await(long millis) {
+    timer = front.vertx().setTimer(millis, t -> {
+      timer = -1;
+      close();
+    });
+  }
+
+  private void stopWaiting() {
+    if (timer >= 0) {
+      front.vertx().cancelTimer(timer);
+      timer = -1;
+    }
   }
 
   private void read(Buffer piece) {
@@ -41,19 +92,24 @@
       front.counters().add(Count.BAD_REQUESTS);
       close();
     }
+    if (greeted) { // one that has not said a whole thing yet has the time since it connected, and no more
+      watch();
+    }
   }
 
   private void message(RpcMessage message) {
     if (closed) {
       return;
     }
+    greeted = true;
+    awaitsRest = false;
     if (message instanceof RpcMessage.Request r) {
       request(r);
     } else if (message instanceof RpcMessage.Notification n && n.method().equals("revoke")) {
       for (long id : n.ids()) {
-        Call call = open.remove(id);
-        if (call != null) { // one that is unknown or answered is ignored
-          front.owner().leave(call);
+        Open left = open.remove(id);
+        if (left != null) { // one that is unknown or answered is ignored
+          leave(left);
         }
       }
     }
@@ -69,7 +125,11 @@
       write(RpcEncoder.refused(r.id(), CROWDED_BACKOFF_MILLIS));
     } else {
       try {
-        open.put(r.id(), front.owner().take(front.request(r), reply(r.id())));
+        Request request = front.request(r);
+        if (!front.claim(request.rid())) { // guards against two calls that workers could not tell apart
+          throw new BadField("rid is that of an open request");
+        }
+        open.put(r.id(), new Open(front.owner().take(request, reply(r.id())), request.rid()));
       } catch (BadField e) {
         front.counters().add(Count.BAD_REQUESTS);
         write(RpcEncoder.failed(r.id(), "Invalid", e.getMessage()));
@@ -77,6 +137,11 @@
     }
   }
 
+  private void leave(Open left) {
+    front.release(left.rid());
+    front.owner().leave(left.call());
+  }
+
   private Reply reply(long id) {
     return new Reply() {
       @Override
@@ -97,8 +162,11 @@
   }
 
   private void answer(long id, Buffer message) {
-    if (open.remove(id) != null) { // guards against an answer after a revoke
+    Open answered = open.remove(id);
+    if (answered != null) { // guards against an answer after a revoke
+      front.release(answered.rid());
       write(message);
+      watch();
     }
   }
 
@@ -112,11 +180,12 @@
     }
   }
 
-  private void close() {
+  void close() {
     if (!closed) {
       closed = true;
+      stopWaiting();
       socket.close();
-      open.values().forEach(front.owner()::leave);
+      open.values().forEach(this::leave);
       open.clear();
       front.closed(this);
     }
--- a/src/main/java/umberrun/front/rpc/RpcDecoder.java
+++ b/src/main/java/umberrun/front/rpc/RpcDecoder.java
@@ -4,6 +4,7 @@
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -50,35 +51,39 @@
       skip -= piece.length();
       return;
     }
-    Buffer all = rest.length() == 0 ? piece : rest.appendBuffer(piece);
+    byte[] all = (rest.length() == 0 ? piece : rest.appendBuffer(piece)).getBytes();
     int at = (int) skip;
     skip = 0;
-    while (at < all.length() && all.length() - at >= needed) {
+    while (at < all.length && all.length - at >= needed) {
       int used = next(all, at);
       if (used == 0) {
         break;
       }
       at += used;
-      if (at > all.length()) {
-        skip = at - all.length();
-        at = all.length();
+      if (at > all.length) {
+        skip = at - all.length;
+        at = all.length;
       }
     }
-    rest = at == 0 ? all.copy() : all.getBuffer(at, all.length());
+    rest = Buffer.buffer(Arrays.copyOfRange(all, at, all.length));
     if (rest.length() > MOST_HEAD + CallFields.MOST_BODY) { // guards the memory against a head without an end
       throw new Unreadable("message too long");
     }
   }
 
+  /** Whether a message has begun whose end has not come. */
+  boolean isMidway() {
+    return skip > 0 || rest.length() > 0;
+  }
+
   /** Reads the message at {@code at}; its length, which may lie beyond what is here, or 0 for one not whole. */
-  private int next(Buffer all, int at) throws Unreadable {
-    byte[] bytes = all.getBytes(at, all.length());
+  private int next(byte[] all, int at) throws Unreadable {
     needed = 0;
-    try (MessageUnpacker in = MessagePack.newDefaultUnpacker(bytes)) {
+    try (MessageUnpacker in = MessagePack.newDefaultUnpacker(all, at, all.length - at)) {
       int size = in.unpackArrayHeader();
       int type = in.unpackInt();
       if (type == REQUEST && size == 4) {
-        return request(in, bytes);
+        return request(in, all.length - at);
       } else if (type == NOTIFICATION && size == 3) {
         messages.accept(notification(in));
         return (int) in.getTotalReadBytes();
@@ -91,7 +96,7 @@
     }
   }
 
-  private int request(MessageUnpacker in, byte[] bytes) throws IOException, Unreadable {
+  private int request(MessageUnpacker in, int available) throws IOException, Unreadable {
     long id = in.unpackLong();
     String method = string(in);
     if (in.getNextFormat().getValueType() != ValueType.ARRAY) {
@@ -122,7 +127,7 @@
         messages.accept(new RpcMessage.Request(id, method, fields, null));
         return from + length;
       }
-      if (bytes.length - from < length) {
+      if (available - from < length) {
         needed = from + length;
         return 0;
       }
--- a/src/main/java/umberrun/front/rpc/RpcFront.java
+++ b/src/main/java/umberrun/front/rpc/RpcFront.java
@@ -9,6 +9,7 @@
 import io.vertx.core.net.SocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.Map;
 import java.util.Set;
 import umberrun.config.Config.Names;
@@ -21,25 +22,29 @@
 
 /** The platform's protocol, MessagePack-RPC over TCP: decodes a call, hands it on, encodes its one answer. */
 public final class RpcFront {
-  private static final int IDLE_SECONDS = 60;
   private static final int BACKLOG = 1_024;
   private static final double MOST_BUDGET_MILLIS = 600_000;
 
+  private final Vertx vertx;
   private final NetServer server;
   private final Owner owner;
   private final Counters counters;
   private final Names names;
   private final int mostConnections;
-  private final Set<RpcConnection> connections = new HashSet<>();
+  /** In the order in which they came. */
+  private final Set<RpcConnection> connections = new LinkedHashSet<>();
+  /** The ids of all open requests. */
+  private final Set<Buffer> openIds = new HashSet<>();
   private boolean fit;
 
   public RpcFront(Vertx vertx, Owner owner, Counters counters, Names names, int sockets) {
+    this.vertx = vertx;
     this.owner = owner;
     this.counters = counters;
     this.names = names;
     this.mostConnections = sockets / 2;
     this.server = vertx.createNetServer(new NetServerOptions().setTcpNoDelay(true).setAcceptBacklog(BACKLOG)
-        .setReuseAddress(true).setIdleTimeout(IDLE_SECONDS));
+        .setReuseAddress(true));
     server.connectHandler(this::accept);
   }
 
@@ -57,6 +62,10 @@
     return fit;
   }
 
+  Vertx vertx() {
+    return vertx;
+  }
+
   Owner owner() {
     return owner;
   }
@@ -66,7 +75,7 @@
   }
 
   private void accept(NetSocket socket) {
-    if (connections.size() >= mostConnections) { // guards the descriptors that the workers' links need
+    if (connections.size() >= mostConnections && !makeRoom()) { // guards the descriptors that the workers' links need
       socket.close();
       return;
     }
@@ -74,6 +83,32 @@
     connections.add(new RpcConnection(this, socket));
   }
 
+  /** Closes the oldest connection that never said anything, or else the oldest without an open request. */
+  private boolean makeRoom() {
+    RpcConnection least = null;
+    for (RpcConnection c : connections) {
+      if (!c.isGreeted()) {
+        least = c;
+        break;
+      }
+      least = least == null && c.isIdle() ? c : least;
+    }
+    if (least != null) {
+      counters.add(Count.CLIENTS_DISPLACED);
+      least.close();
+    }
+    return least != null;
+  }
+
+  /** Claims an id for a request; false while another request with it is open. */
+  boolean claim(Buffer rid) {
+    return openIds.add(rid);
+  }
+
+  void release(Buffer rid) {
+    openIds.remove(rid);
+  }
+
   void closed(RpcConnection connection) {
     connections.remove(connection);
   }
--- a/src/main/java/umberrun/worker/Exchange.java
+++ b/src/main/java/umberrun/worker/Exchange.java
@@ -31,6 +31,11 @@
     return false;
   }
 
+  /** Whether nothing more is sent under this id after such an answer. */
+  boolean isSettledBy(List<Buffer> parts) {
+    return true;
+  }
+
   /** What tells the worker that nobody waits any more, or null. */
   Buffer withdrawal() {
     return null;
--- a/src/main/java/umberrun/worker/Link.java
+++ b/src/main/java/umberrun/worker/Link.java
@@ -25,6 +25,8 @@
 
   private static final int QUEUE_BYTES = 64 << 10;
   private static final int MOST_STALE = 256;
+  /** A worker writes an answer in one piece: one that is not whole by then never will be. */
+  private static final long STUCK_MILLIS = 250;
 
   private final Vertx vertx;
   private final Clock clock;
@@ -32,11 +34,13 @@
   private final long idleMillis;
   private final Map<Buffer, Exchange> out = new HashMap<>();
   private final ArrayDeque<Exchange> waiting = new ArrayDeque<>();
-  /** Ids given up here whose answer may still come: no other attempt of theirs may use this connection. */
+  /** Ids of calls that may be tried again while an answer, or a second copy of it, may still come: not here. */
   private final Set<Buffer> stale = new HashSet<>();
   private NetSocket socket;
   private long heardAt;
+  private RespParser parser;
   private long idleTimer = -1;
+  private long stuckTimer = -1;
   private boolean retired;
   private boolean closed;
 
@@ -56,7 +60,8 @@
     socket = s;
     heardAt = clock.now();
     s.setWriteQueueMaxSize(QUEUE_BYTES);
-    s.handler(new RespParser(this::answer, this::close));
+    parser = new RespParser(this::answer, this::close);
+    s.handler(this::read);
     s.closeHandler(v -> close());
     s.exceptionHandler(e -> close());
     s.drainHandler(v -> flush());
@@ -64,6 +69,28 @@
     watchIdle();
   }
 
+  /** Guards all that is out here against an answer that stops midway, or whose length takes in the next ones. */
+  private void read(Buffer chunk) {
+    long before = parser.read();
+    parser.handle(chunk);
+    if (parser.read() > before) {
+      cancelStuck();
+    }
+    if (parser.isMidway() && stuckTimer < 0 && !closed) {
+      stuckTimer = vertx.setTimer(STUCK_MILLIS, t -> {
+        stuckTimer = -1;
+        close();
+      });
+    }
+  }
+
+  private void cancelStuck() {
+    if (stuckTimer >= 0) {
+      vertx.cancelTimer(stuckTimer);
+      stuckTimer = -1;
+    }
+  }
+
   /** The connection never came up: nothing that waits for it has run. */
   void refused() {
     end(Code.CONNECT_FAILED);
@@ -153,8 +180,7 @@
     waiting.remove(x);
     drop(x);
     if (written && !closed) {
-      stale.add(x.id);
-      retired |= stale.size() > MOST_STALE; // guards the memory: a worker that answers nothing
+      avoid(x.id);
       if (x.withdrawal() != null) {
         socket.write(x.withdrawal());
       }
@@ -163,6 +189,11 @@
     watchIdle();
   }
 
+  private void avoid(Buffer id) {
+    stale.add(id);
+    retired |= stale.size() > MOST_STALE; // guards the memory: a worker that answers nothing, or nothing good
+  }
+
   private void answer(List<Buffer> parts) {
     heardAt = clock.now();
     Exchange x = out.remove(parts.get(0));
@@ -171,6 +202,9 @@
       return;
     }
     drop(x);
+    if (!x.isSettledBy(parts)) {
+      avoid(x.id);
+    }
     x.answered(parts);
     watchIdle();
     if (retired) {
@@ -184,6 +218,7 @@
     }
     closed = true;
     cancelIdle();
+    cancelStuck();
     if (socket != null) {
       socket.close();
     }
--- a/src/main/java/umberrun/worker/RespParser.java
+++ b/src/main/java/umberrun/worker/RespParser.java
@@ -20,12 +20,15 @@
   private int wanted;
   private int bulk = -1;
   private boolean broken;
+  private long read;
+  /** Bytes that came and belong to no record yet. */
+  private long unread;
 
   /** @param garbage is run once when the stream can't be read, and nothing more is passed on */
   RespParser(Handler<List<Buffer>> arrays, Runnable garbage) {
     this.arrays = arrays;
     this.garbage = garbage;
-    records.maxRecordSize(MOST_BYTES + 2);
+    records.maxRecordSize(MOST_LINE);
     records.handler(this::record);
     records.exceptionHandler(e -> fail());
   }
@@ -39,9 +42,20 @@
     return b;
   }
 
+  /** Whether an array has begun whose end has not come. */
+  boolean isMidway() {
+    return parts != null || unread > 0;
+  }
+
+  /** How many whole arrays were passed on. */
+  long read() {
+    return read;
+  }
+
   @Override
   public void handle(Buffer chunk) {
     if (!broken) {
+      unread += chunk.length();
       records.handle(chunk);
     }
   }
@@ -50,6 +64,7 @@
     if (broken) {
       return;
     }
+    unread -= record.length() + (bulk >= 0 ? 0 : 2);
     if (bulk >= 0) {
       if (record.getByte(bulk) != '\r' || record.getByte(bulk + 1) != '\n') {
         fail();
@@ -58,9 +73,11 @@
       parts.add(record.getBuffer(0, bulk));
       bulk = -1;
       records.delimitedMode("\r\n");
+      records.maxRecordSize(MOST_LINE);
       if (parts.size() == wanted) {
         List<Buffer> whole = parts;
         parts = null;
+        read++;
         arrays.handle(whole);
       }
     } else if (parts == null) {
@@ -75,6 +92,7 @@
         fail();
       } else {
         records.fixedSizeMode(bulk + 2);
+        records.maxRecordSize(bulk + 2);
       }
     }
   }
--- a/src/main/java/umberrun/worker/WorkerPool.java
+++ b/src/main/java/umberrun/worker/WorkerPool.java
@@ -73,7 +73,7 @@
         List.copyOf(open).forEach(Link::retire);
       }
       if (ended) {
-        vertx.setTimer((graceEnd() - clock.now()) / 1_000 + 1, t -> closeStuck());
+        vertx.setTimer(Math.max(1, (graceEnd() - clock.now()) / 1_000 + 1), t -> closeStuck());
       }
     }
 
@@ -97,6 +97,11 @@
     public void closed(Link link) {
       links--;
       open.remove(link);
+      forgetIfGone();
+    }
+
+    /** Lets go of a worker that will not come back, with its last connection, or at once where it has none. */
+    private void forgetIfGone() {
       if (open.isEmpty() && endpoint.state() == State.GONE) {
         workers.values().remove(this);
       }
@@ -131,7 +136,14 @@
 
   @Override
   public void update(int id, Endpoint endpoint, long toldAt) {
-    workers.computeIfAbsent(id, i -> new Worker()).update(endpoint, toldAt);
+    Worker w = workers.computeIfAbsent(id, i -> new Worker());
+    w.update(endpoint, toldAt);
+    w.forgetIfGone();
+  }
+
+  /** How many workers are kept in mind. */
+  int known() {
+    return workers.size();
   }
 
   private void submit(int worker, Exchange x) {
@@ -164,6 +176,11 @@
         return true;
       }
 
+      @Override
+      boolean isSettledBy(List<Buffer> parts) {
+        return parts.size() > 1 && Fields.code(parts.get(1)) == Code.OK;
+      }
+
       @Override
       Buffer withdrawal() {
         return RespParser.command(STOP, id);
--- a/src/test/java/umberrun/RpcScenariosTest.java
+++ b/src/test/java/umberrun/RpcScenariosTest.java
@@ -103,6 +103,40 @@
     }
   }
 
+  /** An answer that stops midway makes its connection useless for all that is out on it. */
+  @Test
+  public void anAnswerThatStopsMidwayEndsItsConnection() throws Exception {
+    try (Scenario s = Scenario.of("w1")) {
+      s.play("""
+          c1 send 1 slot-change budget=9000
+          w1 expect RUN
+          c1 send 2 slot-change budget=9000
+          w1 expect RUN
+          w1 send raw 2a340d0a2431360d0a39
+          """);
+      s.await(Count.ATTEMPTS_RESET, 1);
+    }
+  }
+
+  /** A second copy of an answer does not end the next attempt of the same call. */
+  @Test
+  public void aSecondCopyOfAnAnswerIsPassedOver() throws Exception {
+    try (Scenario s = Scenario.of("w1")) {
+      s.play("""
+          c1 send 1 date-lookup budget=9000
+          w1 expect RUN
+          w1 send 503
+          w1 expect RUN
+          w1 send previous 503
+          c1 send 2 date-lookup budget=9000
+          w1 expect RUN
+          w1 send 200 n=w
+          c1 expect [1,2,null
+          """);
+      assertEquals(1, s.server.counters().get(Count.ATTEMPTS_FULL));
+    }
+  }
+
   /** Rule 3: a second after it was told to drain, a worker sees nothing new. */
   @Test
   public void aDrainingWorkerSeesNothingNew() throws Exception {
@@ -149,6 +183,57 @@
     }
   }
 
+  /** Silence and half a message are not waited for, neither at the start nor later. */
+  @Test
+  public void whoeverSaysNothingWholeIsClosed() throws Exception {
+    try (Scenario s = Scenario.of("w1")) {
+      s.worker("w1").answersAll = true;
+      s.play("""
+          c4 send 1 date-lookup
+          c4 expect [1,1,null
+          c4 send raw 940002
+          c1 send raw 94
+          c2 send revoke 7
+          c3 send raw 940001ab646174652d6c6f6f6b757092
+          c1 expect close
+          c2 expect close
+          c3 expect close
+          c4 expect close
+          """);
+    }
+  }
+
+  /** At the most connections a newcomer takes the place of one that never said anything. */
+  @Test
+  public void silentConnectionsMakeRoomForNewcomers() throws Exception {
+    try (Scenario s = new Scenario(64, false, "{}", "w1")) {
+      s.worker("w1").answersAll = true;
+      s.play("c1 send 1 date-lookup\nc1 expect [1,1,null");
+      for (int i = 0; i < 40; i++) {
+        s.play("c-silent" + i + " open");
+      }
+      s.play("c2 send 2 date-lookup\nc2 expect [1,2,null\nc1 send 3 date-lookup\nc1 expect [1,3,null");
+      assertTrue(s.server.counters().get(Count.CLIENTS_DISPLACED) > 0);
+    }
+  }
+
+  /** Workers could not tell two calls under one id apart, so that the second is never served. */
+  @Test
+  public void theIdOfAnOpenRequestIsNotTakenTwice() throws Exception {
+    try (Scenario s = Scenario.of("w1")) {
+      s.play("""
+          c1 send 1 date-lookup body=one
+          w1 expect RUN
+          c2 send 1 date-lookup body=other
+          c2 expect [1,1,["Invalid" rid
+          w1 send 200 n=w told
+          c1 expect [1,1,null told
+          c2 send 1 date-lookup
+          w1 expect RUN
+          """);
+    }
+  }
+
   @Test
   public void aRepeatedOpenIdClosesTheConnection() throws Exception {
     try (Scenario s = Scenario.of("w1")) {
--- a/src/test/java/umberrun/Scenario.java
+++ b/src/test/java/umberrun/Scenario.java
@@ -66,6 +66,7 @@
   private final Map<String, CompletableFuture<HttpResponse<byte[]>>> asked = new HashMap<>();
   private final HttpClient http = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
   private final Map<String, String> env;
+  private final int sockets;
   private HttpServer roll;
   private final List<String> events = new ArrayList<>();
   private final List<String> consulWorkers = new ArrayList<>();
@@ -77,6 +78,12 @@
 
   /** Starts a front end with these workers; {@code consul} has them listed there instead of in the change log. */
   Scenario(boolean consul, String operatorDeferred, String... names) throws Exception {
+    this(8_192, consul, operatorDeferred, names);
+  }
+
+  /** The same within so many descriptors. */
+  Scenario(int sockets, boolean consul, String operatorDeferred, String... names) throws Exception {
+    this.sockets = sockets;
     roll = roll();
     for (String name : names) {
       workers.put(name, new Worker(name.endsWith("-down")));
@@ -122,8 +129,8 @@
   }
 
   private String config() {
-    return "{\"name\":\"n1\",\"listen\":\"127.0.0.1:0\",\"seed\":\"1\",\"limits\":{\"sockets\":8192},\"changelog\":\""
-        + rollAddress() + "\",\"known\":" + changesSince(0) + ",\"settings\":" + SETTINGS + "}";
+    return "{\"name\":\"n1\",\"listen\":\"127.0.0.1:0\",\"seed\":\"1\",\"limits\":{\"sockets\":" + sockets
+        + "},\"changelog\":\"" + rollAddress() + "\",\"known\":" + changesSince(0) + ",\"settings\":" + SETTINGS + "}";
   }
 
   /** The change log answers elsewhere from now on, and the configuration says where. The old one stays silent. */
@@ -237,6 +244,7 @@
     final BlockingQueue<Command> commands = new LinkedBlockingQueue<>();
     private final List<Socket> sockets = new ArrayList<>();
     private Command last;
+    private Command previous;
     volatile boolean answersAll;
 
     /** @param down refuses connections: its port is nobody's from the start */
@@ -285,6 +293,7 @@
     }
 
     void expect(String... words) throws InterruptedException {
+      previous = last;
       last = commands.poll(PATIENCE_SECONDS, TimeUnit.SECONDS);
       assertNotNull("nothing came", last);
       String all = String.join(" ", last.words);
@@ -293,9 +302,11 @@
       }
     }
 
-    /** Answers the last command: a word, fields and a body; or 'raw' bytes in hex. */
+    /** Answers the last command, or the one before it: a word, fields and a body; or 'raw' bytes in hex. */
     void send(String... words) throws IOException {
-      if (words[0].equals("raw")) {
+      if (words[0].equals("previous")) {
+        answer(previous, words[1], "-", "");
+      } else if (words[0].equals("raw")) {
         last.from.getOutputStream().write(HexFormat.of().parseHex(words[1]));
       } else {
         answer(last, words[0], words.length > 1 ? words[1] : "-", words.length > 2 ? words[2] : "");
@@ -351,6 +362,7 @@
           }
         }
         case "close" -> socket.close();
+        case "open" -> { } // it is, and says nothing
         default -> fail("no such verb");
       }
     }
@@ -365,7 +377,8 @@
         out.packArrayHeader(3).packInt(2).packString("revoke").packArrayHeader(1).packLong(Long.parseLong(words[1]));
         return out.toByteArray();
       }
-      Map<String, String> f = new HashMap<>(Map.of("rid", "9b1f03aa5c7e2d4" + words[0].charAt(0), "budget", "1500",
+      Map<String, String> f = new HashMap<>(Map.of("rid", "9b1f03aa5c7e2d"
+          + Integer.toHexString(0x40 + Integer.parseInt(words[0])), "budget", "1500",
           "acct", "central-council", "obj", "7f3a9c21e0b4d655", "info", "memory_mb:512;lanes:2;load_ms:100"));
       if (words[1].equals("slot-change")) {
         f.put("token", "5c0f6e1a2b3d4c59a8b7c6d5e4f30211");
