Module: second copies of late calls, and health that one lost connection cannot ruin

One spoilt answer resets all that is out on its link, and each of those raised Worker.bad by a fifth (judge), so that eight of them benched a healthy worker. Errors for functions that no worker knows, which bad clients send, did the same.

Each has a test in ChoiceTest that fails without it.

--- a/src/main/java/saddlestall/Choice.java
+++ b/src/main/java/saddlestall/Choice.java
@@ -33,7 +33,7 @@
   private static final int HALL = 7; // in this front end's hall
   private static final int DOUBT = 8; // suspicion of its health
   private static final int FEATURES = 9;
-  private static final double[] START = {5, -4, -3, -2, -8, -3, 4, 0.4, -6};
+  private static final double[] START = {5, -4, -3, -2, -5, -3, 4, 0.4, -6};
 
   // Learning.
   private static final int BATCH = 32;
@@ -78,6 +78,8 @@
   // Further attempts, cold workers, admission.
   private static final double RETRY_SHARE = 0.2; // further attempts for each call taken
   private static final double RETRY_BURST = 5;
+  private static final double HELD_PART = 0.45; // of its time, the most that a call waits for its first send
+  private static final double HEDGE_AIM = 0.4; // of the aim, the least time after which a second copy is sent
   private static final double COLD_MARGIN = 0.5; // part of the cold budget used: workers differ in size
   private static final double PRESSURE_FADE = 0.95; // each tick: old pressure is no reason to refuse
   private static final double PRESSURE_AIM = 0.75; // mean time in flight, of its aim, that shedding holds to
@@ -312,11 +314,15 @@
     }
   }
 
-  /** Held calls are tried again; one that can no longer be served within its aim is let go under pressure. */
+  /**
+   * Held calls are tried again. One that can no longer be served within its aim is let go under pressure, and
+   * one that was never sent while there is still time for its client to try elsewhere.
+   */
   private void retryHeld() {
     for (Open call : held.isEmpty() ? List.<Open>of() : new ArrayList<>(held)) {
       held.remove(call);
-      if (shed > 0 && now - call.takenAt + unit(call) > call.kind.aim()) {
+      boolean stale = call.sent == 0 && now - call.takenAt > HELD_PART * (call.deadline - call.takenAt);
+      if (stale || shed > 0 && now - call.takenAt + unit(call) > call.kind.aim()) {
         finish(call);
       } else {
         place(call);
@@ -526,7 +532,8 @@
     if (call.sent >= settings.limits().maxAttempts() || now >= call.deadline || call.streaming) {
       return false;
     }
-    if (w.state != State.READY || call.outstanding > 0 || call.mayHaveRun && !repeatable(call, w)) {
+    boolean alone = call.outstanding <= (call.hedged ? 1 : 0);
+    if (w.state != State.READY || !alone || call.mayHaveRun && !repeatable(call, w)) {
       return false;
     }
     return !cold(w) || w.coldBudget >= 1;
@@ -706,9 +713,14 @@
       a.copy.crowdAt = now;
     }
     boolean dead = e.code() == Code.CONNECT_FAILED || e.code() == Code.RESET;
-    boolean bad = dead || e.code() == Code.TIMEOUT || e.code() == Code.ERROR && e.note() != Note.LOAD_FAILED;
+    // An error for a function that nobody has served yet tells of the function, or of a client's nonsense.
+    boolean error = e.code() == Code.ERROR && e.note() != Note.LOAD_FAILED && f.served;
+    boolean bad = dead || e.code() == Code.TIMEOUT || error;
+    f.served |= e.code() == Code.OK;
     if (bad) {
-      w.bad += a.missed > 0 && !dead ? 0 : BAD_STEP * (1 - w.bad);
+      // What one lost connection takes along counts once.
+      w.bad += a.missed > 0 && !dead || dead && now - w.diedAt < TICK ? 0 : BAD_STEP * (1 - w.bad);
+      w.diedAt = dead ? now : w.diedAt;
       if (w.benched) {
         w.trialWait = Math.min(TRIAL_WAIT_MOST, 2 * w.trialWait);
         w.trialAt = now + w.trialWait;
@@ -725,12 +737,13 @@
    */
   private void watchHealth() {
     double[] bads = new double[ready.length];
+    List<Attempt> late = new ArrayList<>();
     loadsOut = 0;
     for (int i = 0; i < ready.length; i++) {
       Worker w = ready[i];
       bads[i] = w.bad;
       w.pace += (1 - w.pace) * TICK / (mixSpan * SECOND);
-      watchOut(w);
+      watchOut(w, late);
       if (cold(w)) {
         fillColdBudget(w);
       }
@@ -749,6 +762,30 @@
       count += worse ? 1 : 0;
     }
     commonCause = count > COMMON * ready.length;
+    late.forEach(this::hedge);
+  }
+
+  /**
+   * A call whose only attempt is late gets a second copy where a loaded copy surely stands, if its class
+   * allows that, so that a slow or silent worker or a lost answer does not cost it its aim. It hurts where
+   * the work itself is long, so it comes out of the budget for further attempts, and not under pressure.
+   */
+  private void hedge(Attempt a) {
+    Open call = a.call;
+    boolean allowed = settings.limits().secondCopy() && call.kind.effect() != Effect.UNSAFE && shed == 0;
+    if (!allowed || call.closed || call.outstanding != 1 || retries < 1) {
+      return;
+    }
+    boolean ranBefore = call.mayHaveRun;
+    call.hedged = true;
+    call.mayHaveRun(a); // it is out: a keyed copy stays in its hall
+    Worker w = draw(call, false);
+    call.mayHaveRun = ranBefore;
+    if (w != null && belief(call.function, w) > RUMOUR) {
+      call.mayHaveRun(a);
+      retries--;
+      send(call, w);
+    }
   }
 
   /** A tenant's calls of one class: what a worker may turn away while it serves others. */
@@ -776,7 +813,7 @@
    * as a bad outcome, and again each time that as much has passed. Covers hangs and lost answers. The ages of
    * those out also show a slow worker before its answers do. It hurts where one call alone is very long.
    */
-  private void watchOut(Worker w) {
+  private void watchOut(Worker w, List<Attempt> late) {
     double age = 0;
     double usual = 0;
     for (Attempt a : w.out.values()) {
@@ -789,6 +826,9 @@
         a.missed++;
         w.bad += BAD_STEP * (1 - w.bad);
       }
+      if (now - a.sentAt > Math.max(OVERDUE * one * Math.max(1, w.pace), HEDGE_AIM * a.call.kind.aim())) {
+        late.add(a);
+      }
     }
     w.lag = age / Math.max(1, usual);
   }
@@ -847,7 +887,7 @@
     double out = PRESSURE_CALLS * PRESSURE_USUAL * meanAim / SECOND; // an idle front end is at the usual
     for (Worker w : ready) {
       for (Attempt a : w.out.values()) { // what is stuck on a sick worker, or loads, is no sign of overload
-        out += w.benched || a.cold && now - a.sentAt < OVERDUE * a.load ? 0 : 1;
+        out += w.benched || a.call.closed || a.cold && now - a.sentAt < OVERDUE * a.load ? 0 : 1;
       }
     }
     double seen = (pressure + PRESSURE_CALLS * PRESSURE_USUAL) / (pressed + PRESSURE_CALLS);
--- a/src/main/java/saddlestall/Memory.java
+++ b/src/main/java/saddlestall/Memory.java
@@ -151,6 +151,8 @@
     double lanes = 1;
     double loadTime;
     int callClass;
+    /** Whether a call of it was ever served. */
+    boolean served;
     /** Own calls, decaying, as of {@code lastAt}. */
     double recent;
     long lastAt;
@@ -180,6 +182,8 @@
     double pace = 1;
     double lag;
     double bad;
+    /** When a connection to it was last lost or refused. */
+    long diedAt = Long.MIN_VALUE / 2;
     double plan;
     boolean benched;
     /** By tenant and class, turned a call away: passed over until then, and how long the wait was. */
@@ -216,6 +220,8 @@
     int outstanding;
     boolean streaming;
     boolean closed;
+    /** Whether a second copy may be out beside the first. */
+    boolean hedged;
     /** Whether an attempt may have run, and the first such attempt's time, hall and cell. */
     boolean mayHaveRun;
     long ranSince;
--- a/src/test/java/saddlestall/Bench.java
+++ b/src/test/java/saddlestall/Bench.java
@@ -31,7 +31,7 @@
 
   static Settings settings(List<CallClass> classes, boolean orders) {
     return new Settings(0, 2, 0, classes, List.of(new Tenant(1, 1000)), 0.2, false, false,
-        WeightKind.SILENT, List.of(), new Limits(true, false, true, false, true, 500 * MS, 4, 250 * MS),
+        WeightKind.SILENT, List.of(), new Limits(true, true, true, false, true, 500 * MS, 4, 250 * MS),
         new Rules(16 * MS, 10 * SECOND, 250 * MS, 15 * SECOND, 0.15, 2 * SECOND, 3),
         new Loads(true, orders, 5 * SECOND, 2, 0.15, 10 * SECOND, true, true, 0.1),
         new Report(Via.PROBES, List.of(Field.UTILIZATION, Field.QUEUE)), new Costs(0, 0, 0, 0, 0, 0));
--- a/src/test/java/saddlestall/ChoiceTest.java
+++ b/src/test/java/saddlestall/ChoiceTest.java
@@ -402,4 +402,60 @@
     }
     assertTrue(b.all(Refuse.class).isEmpty());
   }
+
+  /** Lost answers, slow workers: a late call gets one second copy, where a loaded one stands and its class allows. */
+  @ParameterizedTest
+  @EnumSource(Effect.class)
+  void aLateCallGetsASecondCopy(Effect effect) {
+    Bench b = new Bench(Bench.settings(false, Group.ZONE), 7).list(6);
+    for (int id = 1; id <= 30; id++) {
+      b.call(id, SAFE, 9); // many at once, so that copies come to stand at all workers
+    }
+    b.at(60);
+    b.all(Send.class).forEach(s -> b.outcome(s, 0, Code.OK, 60));
+    b.at(50).call(100, effect.ordinal() == 0 ? SAFE : effect == Effect.KEYED ? KEYED : UNSAFE, 9).pass(1_000);
+    List<Send> sends = b.sends(100);
+    assertEquals(effect == Effect.UNSAFE ? 1 : 2, sends.size());
+    if (effect != Effect.UNSAFE) {
+      assertFalse(sends.get(0).worker() == sends.get(1).worker());
+      b.outcome(sends.get(1), 1, Code.OK, 60).at(50);
+      int before = b.actions.size();
+      b.event(new Outcome(100, 0, sends.get(0).worker(), Code.TIMEOUT, SECOND, true, Note.NONE, -1, null));
+      assertEquals(before, b.actions.size());
+    }
+    if (effect == Effect.KEYED) {
+      assertEquals(sends.get(0).worker() % 3, sends.get(1).worker() % 3);
+    }
+  }
+
+  /** Bad peers: all that one lost connection takes along is one sign of its worker's health, not as many. */
+  @Test
+  void aLostConnectionCountsOnce() {
+    Bench b = bench().list(1);
+    for (int id = 1; id <= 10; id++) {
+      b.call(id, UNSAFE, 9);
+    }
+    b.at(20);
+    List.copyOf(b.all(Send.class)).forEach(s -> b.outcome(s, 0, Code.RESET, 20));
+    assertEquals(0.2, b.choice.workers.get(1).bad, 1e-9);
+  }
+
+  /** Bad clients: errors for functions that no worker knows are no sign of a worker's health. */
+  @Test
+  void nonsenseBenchesNoWorker() {
+    Bench b = bench().list(4);
+    for (int id = 1; id <= 40; id++) {
+      b.call(id, UNSAFE, 1_000 + id).at(5);
+      b.sends(id).forEach(s -> b.outcome(s, 0, Code.ERROR, 5));
+    }
+    assertTrue(b.choice.workers.values().stream().allMatch(w -> w.bad == 0));
+  }
+
+  /** A call that nothing can serve is refused while that costs little, not when its time is up. */
+  @Test
+  void aHeldCallIsRefusedBeforeHalfItsTimeHasPassed() {
+    Bench b = bench().call(1, SAFE, 9).pass(1_000);
+    assertFalse(b.refused(1));
+    assertTrue(b.pass(200).refused(1));
+  }
 }
