--- a/src/main/java/saddlestall/Choice.java
+++ b/src/main/java/saddlestall/Choice.java
@@ -62,7 +62,7 @@
   private static final double HOME_FILL = 0.8; // share of its lanes that a home is meant to use
   private static final double HOME_PART = 1.2; // of a worker's mean load, the most of one function for a home
 
-  private static final double ORDER_CALLS = 1.5; // recent calls that make a load worth an order
+  private static final double ORDER_CALLS = 8; // recent calls that make a load worth an order
   private static final double SLOW_LOAD = 2; // a load over so many times its time shows a crowded store
   private static final double LOADS_EACH = 2; // own loads at once, for a front end's share of the workers
 
