Invoke API: end silent, slow and endless clients, and keep room for newcomers

Read in InvokeFront: silence and half a request held a connection for 75 s, at the cap newcomers were closed while silent connections stayed, and a body too long was closed on while it still came, which can cost the client its 413. Three scenarios with a client that writes its own bytes fail without the change; a fourth shows that SIGHUP leaves calls in hand and kept results alone.

--- a/src/main/java/umberrun/front/invoke/InvokeFront.java
+++ b/src/main/java/umberrun/front/invoke/InvokeFront.java
@@ -4,6 +4,7 @@
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpConnection;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerOptions;
@@ -11,6 +12,8 @@
 import io.vertx.core.http.HttpServerResponse;
 import io.vertx.core.net.SocketAddress;
 import java.security.SecureRandom;
+import java.util.LinkedHashMap;
+import java.util.Map;
 import java.util.function.Consumer;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -32,6 +35,9 @@
   private static final Pattern INVOKE = Pattern.compile("/v1/functions/([^/]+)/invocations");
   private static final Pattern COLLECT = Pattern.compile("/v1/invocations/([^/]+)");
   private static final int IDLE_SECONDS = 75;
+  /** A request must be whole so long after its head, and the first head must come so long after connecting. */
+  private static final long WHOLE_MILLIS = 5_000;
+  private static final long LINGER_MILLIS = 500;
   private static final long MOST_POLL_MILLIS = 30_000;
 
   private final Vertx vertx;
@@ -42,6 +48,8 @@
   private final Names names;
   private final int mostConnections;
   private final SecureRandom random = new SecureRandom();
+  /** Connections on which no request has come yet, with the timer of each, the oldest first. */
+  private final Map<HttpConnection, Long> silent = new LinkedHashMap<>();
   private int connections;
   private boolean fit;
 
@@ -58,11 +66,18 @@
         .setHttp2ClearTextEnabled(false));
     server.connectionHandler(c -> {
       if (connections >= mostConnections) { // guards the descriptors that the rest needs
-        c.close();
-        return;
+        if (silent.isEmpty()) {
+          c.close();
+          return;
+        }
+        silent.keySet().iterator().next().close();
       }
       connections++;
-      c.closeHandler(v -> connections--);
+      silent.put(c, vertx.setTimer(WHOLE_MILLIS, t -> c.close())); // guards against clients that say nothing
+      c.closeHandler(v -> {
+        connections--;
+        spoke(c);
+      });
     });
     server.invalidRequestHandler(r -> new Problem(400, "not a readable request").write(r.response()));
     server.requestHandler(this::handle);
@@ -77,7 +92,16 @@
     this.fit = fit;
   }
 
+  /** Whoever has sent the head of a request is no longer taken for silent. */
+  private void spoke(HttpConnection c) {
+    Long timer = silent.remove(c);
+    if (timer != null) {
+      vertx.cancelTimer(timer);
+    }
+  }
+
   private void handle(HttpServerRequest request) {
+    spoke(request.connection());
     try {
       route(request);
     } catch (Problem e) {
@@ -126,18 +150,23 @@
   private void invoke(HttpServerRequest request, String function) throws Problem {
     Buffer body = Buffer.buffer();
     boolean[] refused = {false};
+    long whole = vertx.setTimer(WHOLE_MILLIS, t -> { // guards against a body that stops midway
+      refused[0] = true;
+      counters.add(Count.BAD_REQUESTS);
+      end(request, new Problem(408, "the request did not come whole in time"));
+    });
     request.handler(piece -> {
       if (!refused[0] && body.length() + piece.length() > CallFields.MOST_BODY) { // guards the memory
         refused[0] = true;
         counters.add(Count.BAD_REQUESTS);
-        request.response().putHeader("Connection", "close");
-        new Problem(413, "the body is longer than " + CallFields.MOST_BODY + " bytes").write(request.response());
-        request.connection().close();
+        vertx.cancelTimer(whole);
+        end(request, new Problem(413, "the body is longer than " + CallFields.MOST_BODY + " bytes"));
       } else if (!refused[0]) {
         body.appendBuffer(piece);
       }
     });
     request.endHandler(v -> {
+      vertx.cancelTimer(whole);
       if (!refused[0]) {
         try {
           submit(request, function, body);
@@ -147,7 +176,18 @@
         }
       }
     });
-    request.exceptionHandler(e -> refused[0] = true); // the client went before its call was whole
+    request.exceptionHandler(e -> { // the client went before its call was whole
+      vertx.cancelTimer(whole);
+      refused[0] = true;
+    });
+  }
+
+  /** Answers a request that is not read to its end. A close while it still comes would cost the client the answer. */
+  private void end(HttpServerRequest request, Problem problem) {
+    request.pause();
+    request.response().putHeader("Connection", "close");
+    problem.write(request.response());
+    vertx.setTimer(LINGER_MILLIS, t -> request.connection().close());
   }
 
   private void submit(HttpServerRequest request, String function, Buffer body) throws Problem {
--- a/src/test/java/umberrun/InvokeScenariosTest.java
+++ b/src/test/java/umberrun/InvokeScenariosTest.java
@@ -143,4 +143,36 @@
       assertTrue("served " + served, served > 0);
     }
   }
+
+  /** Silent clients are closed, half a request gets its answer, and an endless one is cut off at 16 KiB. */
+  @Test
+  public void slowSilentAndEndlessClientsAreEnded() throws Exception {
+    try (Scenario s = Scenario.of("w1")) {
+      String head = "POST /v1/functions/7f3a9c21e0b4d655/invocations HTTP/1.1|Host: x|Content-Length: 16000000||";
+      s.play("r1 open\nr2 send POST /v1/func\nr3 send " + head + "half\nr4 send " + head + "x".repeat(20_000)
+          + "\nr4 expect 413\nr3 expect 408\nr1 expect close\nr2 expect close");
+    }
+  }
+
+  /** At the most connections a newcomer takes the place of one that never said anything. */
+  @Test
+  public void silentConnectionsMakeRoomForNewcomers() throws Exception {
+    try (Scenario s = new Scenario(64, false, "{}", "w1")) {
+      for (int i = 0; i < 12; i++) { // 8 are allowed
+        s.play("r" + i + " open");
+      }
+      s.play("h1 send GET /v1/health\nh1 expect 200");
+    }
+  }
+
+  /** SIGHUP moves the change log; calls that wait and results that are kept live on. */
+  @Test
+  public void aNewConfigurationKeepsWhatIsInHand() throws Exception {
+    try (Scenario s = Scenario.of("w1")) {
+      s.play("h1 " + LOOKUP + "Prefer:respond-async\nh1 expect 202\nw1 expect RUN");
+      s.moveRoll();
+      s.play("w1 send 200 n=w told\nh2 send GET @ Prefer:wait=9\nh2 expect 200 told");
+      s.join("w2");
+    }
+  }
 }
--- a/src/test/java/umberrun/Scenario.java
+++ b/src/test/java/umberrun/Scenario.java
@@ -42,7 +42,8 @@
 /**
  * The scenario language: each line names a party, a verb (send, expect, close, wait) and words. Parties are
  * clients of the platform's protocol (c1), of the invoke API (h1), workers (w1, in hall-a; x1, in hall-b), the
- * change log (log) and Consul. What a party expects must come within ten seconds, and is waited for as an event.
+ * change log (log) and Consul; r1 is a client of the invoke API that writes its bytes itself. What a party expects
+ * must come within ten seconds, and is waited for as an event.
  */
 final class Scenario implements AutoCloseable {
   static final long PATIENCE_SECONDS = 10;
@@ -62,6 +63,7 @@
        "Kinds":["std-2"],"Zones":["hall-a","hall-b","hall-c"]}""";
 
   private final Map<String, Worker> workers = new HashMap<>();
+  private final Map<String, Raw> raws = new HashMap<>();
   private final Map<String, RpcClient> clients = new HashMap<>();
   private final Map<String, CompletableFuture<HttpResponse<byte[]>>> asked = new HashMap<>();
   private final HttpClient http = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
@@ -177,6 +179,7 @@
         }
       }
       case 'h' -> invoke(party, verb, rest);
+      case 'r' -> raws.computeIfAbsent(party, p -> connect(server.invokePort())).step(verb, String.join(" ", rest));
       case 'l' -> change(rest[0], rest[1]);
       default -> fail("no such party");
     }
@@ -435,6 +438,28 @@
     }
   }
 
+  /** A client that says just what it is told to say: {@code open}, {@code send text}, {@code expect text|close}. */
+  private record Raw(Socket socket) {
+    void step(String verb, String text) throws IOException {
+      if (verb.equals("send")) {
+        socket.getOutputStream().write(text.replace("|", "\r\n").getBytes(StandardCharsets.ISO_8859_1));
+      } else if (verb.equals("expect")) { // all that comes until the close
+        String all = new String(socket.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
+        assertTrue(all + " lacks " + text, text.equals("close") ? all.isEmpty() : all.contains(text));
+      }
+    }
+  }
+
+  private static Raw connect(int port) {
+    try {
+      Socket socket = new Socket(LOOPBACK, port);
+      socket.setSoTimeout((int) TimeUnit.SECONDS.toMillis(PATIENCE_SECONDS));
+      return new Raw(socket);
+    } catch (IOException e) {
+      throw new AssertionError(e);
+    }
+  }
+
   // ---------------------------------------------------------------- the change log, Consul
 
   private void change(String worker, String state) {
