--- a/src/main/java/umberrun/Server.java
+++ b/src/main/java/umberrun/Server.java
@@ -66,15 +66,24 @@
   static void serve(Config config, Map<String, String> env) {
     Server server = new Server(config);
     server.heed(env);
-    Rehearsal.module(config.settings());
-    Rehearsal.framing();
-    server.open().onSuccess(v -> log(config.name() + " listens on " + config.listen())).onFailure(e -> {
+    server.start().onSuccess(v -> log(config.name() + " listens on " + config.listen())).onFailure(e -> {
       System.err.println("umberrun: can't start: " + e.getMessage());
       Runtime.getRuntime().halt(2);
     });
     Runtime.getRuntime().addShutdownHook(new Thread(server::drain, "drain"));
   }
 
+  /** Starts as if to serve and ends, so that the build can keep the classes that a start needs (README). */
+  static void rehearse(Config config) {
+    new Server(config).start().onComplete(v -> Runtime.getRuntime().exit(0), e -> Runtime.getRuntime().exit(1));
+  }
+
+  private Future<Void> start() {
+    Rehearsal.module(config.settings());
+    Rehearsal.framing();
+    return open();
+  }
+
   /** Takes the signals that do not end the process: unheeded, each of them would. */
   void heed(Map<String, String> env) {
     Signal.handle(new Signal("HUP"), s -> reload(env));
