Make the archive of classes from a start that polls and serves; first calls wait no more

Seen: after every start the loop stands still for 300 to 390 ms, just when the node has said that it is ready, and the lag guard then refuses the next 60 to 200 calls (a probe of the loop's lag and the calls of each quarter second). Samples of the loop's stack in that stretch: the first poll of the change log (HttpChannelConnector, HttpObjectEncoder, HttpClientRequestBase: classes and lambdas that come from the jar), then the classes of links and calls. Ruled out: the compiler's share of the core (niceness 4 and 10 for its thread changed nothing).

Cause: the archive was made by the verb rehearse, a start that never polls, connects or serves (pom.xml, Server.rehearse), so that on half a core the rest was loaded while calls waited.

Change: the build lists the classes of umberrun.StartAndServe, a scenario among the tests, and dumps the archive from the list; the verb is gone.

--- a/src/main/java/umberrun/Main.java
+++ b/src/main/java/umberrun/Main.java
@@ -4,23 +4,15 @@
 import umberrun.config.Config;
 import umberrun.config.Config.BadConfig;
 
-/**
- * The command line: {@code serve} is a real front end, {@code benchlink} the same decisions on the simulator's wire,
- * and {@code rehearse} a start that ends at once, for the build.
- */
+/** The command line: {@code serve} is a real front end, {@code benchlink} the same decisions on the simulator's wire. */
 public final class Main {
   private Main() { }
 
   /** Ends with 2 on wrong usage or a configuration that can't be served. */
   public static void main(String[] args) {
-    if (args.length == 1 && (args[0].equals("serve") || args[0].equals("rehearse"))) {
+    if (Arrays.equals(args, new String[] {"serve"})) {
       try {
-        Config config = Config.read(System.getenv());
-        if (args[0].equals("serve")) {
-          Server.serve(config, System.getenv());
-        } else {
-          Server.rehearse(config);
-        }
+        Server.serve(Config.read(System.getenv()), System.getenv());
       } catch (BadConfig | IllegalArgumentException e) {
         System.err.println("umberrun: " + e.getMessage());
         System.exit(2);
@@ -28,7 +20,7 @@
     } else if (Arrays.equals(args, new String[] {"benchlink"})) {
       saddlestall.benchlink.Main.main(args);
     } else {
-      System.err.println("usage: java -jar umberrun.jar serve | benchlink | rehearse");
+      System.err.println("usage: java -jar umberrun.jar serve | benchlink");
       System.exit(2);
     }
   }
--- a/src/main/java/umberrun/Server.java
+++ b/src/main/java/umberrun/Server.java
@@ -73,11 +73,6 @@
     Runtime.getRuntime().addShutdownHook(new Thread(server::drain, "drain"));
   }
 
-  /** Starts as if to serve and ends, so that the build can keep the classes that a start needs (README). */
-  static void rehearse(Config config) {
-    new Server(config).start().onComplete(v -> Runtime.getRuntime().exit(0), e -> Runtime.getRuntime().exit(1));
-  }
-
   private Future<Void> start() {
     Rehearsal.module(config.settings());
     Rehearsal.framing();
--- a/src/test/java/umberrun/DeployTest.java
+++ b/src/test/java/umberrun/DeployTest.java
@@ -15,7 +15,6 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.stream.Stream;
@@ -29,27 +28,29 @@
   @Test
   public void theRunCommandNamesTheArchiveThatTheBuildMakes() throws Exception {
     String archive = runCommand().replaceAll(".*-XX:SharedArchiveFile=(\\S+) .*", "$1");
-    assertTrue(archive, Files.readString(Path.of("pom.xml")).contains("-XX:ArchiveClassesAtExit=" + archive + "<"));
+    assertTrue(archive, Files.readString(Path.of("pom.xml")).contains("-XX:SharedArchiveFile=" + archive + "<"));
   }
 
-  /** The start that the build takes the classes from ends by itself, and well. */
+  /** The archive holds what a start and the first calls load: else they wait for the jar on half a core. */
   @Test
-  public void aRehearsalEnds() throws Exception {
-    rehearse(List.of());
+  public void theArchiveIsMadeOfAStartThatPollsAndServes() throws Exception {
+    assertTrue(Files.readString(Path.of("pom.xml")).contains("<argument>umberrun.StartAndServe</argument>"));
+    String classes = startAndServe("-XX:DumpLoadedClassList=%s");
+    for (String needed : List.of("umberrun/Rehearsal", "umberrun/worker/Link", "umberrun/front/rpc/RpcConnection$1",
+        "umberrun/roll/ChangeLog", "io/netty/handler/codec/http/HttpClientCodec")) {
+      assertTrue(needed, classes.lines().anyMatch(needed::equals));
+    }
   }
 
   /** Netty's flight recorder events cost a start a sixth of its processor time, and nobody records them. */
   @Test
   public void theRunCommandStartsWithoutFlightRecorderEvents() throws Exception {
-    File loaded = File.createTempFile("classes", ".log");
     List<String> flags = new ArrayList<>(Stream.of(runCommand().split(" ")).filter(w -> w.startsWith("-D")
         && !w.contains("tmpdir")).toList());
-    flags.add("-Xlog:class+load:file=" + loaded);
-    rehearse(flags);
-    String classes = Files.readString(loaded.toPath());
+    flags.add("-Xlog:class+load:file=%s");
+    String classes = startAndServe(flags.toArray(String[]::new));
     assertTrue("the log of classes", classes.contains("io.netty.buffer.ByteBufAllocator "));
     assertFalse("events are set up", classes.contains("io.netty.buffer.AbstractAllocatorEvent "));
-    Files.delete(loaded.toPath());
   }
 
   /** Planned restarts follow each other: a node that rehearses for long is not back when the last one ends. */
@@ -81,14 +82,17 @@
         .findFirst().orElseThrow();
   }
 
-  private static void rehearse(List<String> flags) throws Exception {
+  /** Starts, serves and ends with these flags; what was written to the file that stands for %s in them. */
+  private static String startAndServe(String... flags) throws Exception {
+    File out = File.createTempFile("classes", ".lst");
     List<String> command = new ArrayList<>(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString()));
-    command.addAll(flags);
-    command.addAll(List.of("-cp", System.getProperty("java.class.path"), "umberrun.Main", "rehearse"));
-    ProcessBuilder b = new ProcessBuilder(command);
-    b.environment().putAll(Map.of("EDGE_CONFIG", "examples/config.json", "EDGE_LISTEN", "127.0.0.1:0"));
-    Process p = b.redirectErrorStream(true).redirectOutput(new File("/dev/null")).start();
+    Stream.of(flags).map(f -> f.replace("%s", out.toString())).forEach(command::add);
+    command.addAll(List.of("-cp", System.getProperty("java.class.path"), "umberrun.StartAndServe"));
+    Process p = new ProcessBuilder(command).redirectErrorStream(true).redirectOutput(new File("/dev/null")).start();
     assertTrue("still running", p.waitFor(60, TimeUnit.SECONDS));
     assertEquals(0, p.exitValue());
+    String written = Files.readString(out.toPath());
+    Files.delete(out.toPath());
+    return written;
   }
 }
