Rehearse for as many calls as the quotas let expect, so that busy nodes start warm

Change: each path is taken as often as calls may come in three seconds by the tenants' quotas, 300 to 3,200 times.

--- a/src/main/java/umberrun/Rehearsal.java
+++ b/src/main/java/umberrun/Rehearsal.java
@@ -23,6 +23,7 @@
 import saddlestall.Dispatcher.Send;
 import saddlestall.Dispatcher.Settings;
 import saddlestall.Dispatcher.State;
+import saddlestall.Dispatcher.Tenant;
 import umberrun.front.rpc.RpcFront;
 import umberrun.worker.WorkerPool;
 
@@ -33,17 +34,25 @@
  *
  * <p>Each path is taken little more often than it takes for its methods to be compiled (200 times): planned restarts
  * follow each other, and a front end that is not back when the last of the others ends costs every call until it is.
+ * Where many calls come at once, the ones that a cold front end answers late cost more than the time: there it is more.
  */
 final class Rehearsal {
   private static final long MODULE_NANOS = 1_200_000_000L;
-  private static final int MODULE_CALLS = 1_500;
-  private static final int PARSED = 300;
-  private static final int HEARTBEATS = 300;
+  private static final int MODULE_CALLS = 5; // for each turn of the other paths: it is cheaper, and has more branches
+  private static final int LEAST_TURNS = 300;
+  private static final int MOST_TURNS = 3_200;
+  private static final int SECONDS_OF_CALLS = 3;
   private static final int AT_ONCE = 8;
   private static final long SOCKET_MILLIS = 1_500;
 
   private Rehearsal() { }
 
+  /** How often each path is taken: for as many calls as are likely to come in some seconds. */
+  static int turns(Settings settings) {
+    double quota = settings.tenants().stream().mapToDouble(Tenant::quotaPerSecond).sum();
+    return (int) Math.max(LEAST_TURNS, Math.min(MOST_TURNS, SECONDS_OF_CALLS * quota / settings.siblings()));
+  }
+
   /** Takes a throw-away module through calls, answers and ticks, on a clock of its own. */
   static void module(Settings settings) {
     ArrayDeque<Send> sends = new ArrayDeque<>();
@@ -61,7 +70,7 @@
     module.handle(now, new Members(ListKind.FULL, members), actions);
     Random random = new Random(1);
     long end = System.nanoTime() + MODULE_NANOS;
-    for (int id = 1; id <= MODULE_CALLS && System.nanoTime() < end; id++) {
+    for (int id = 1; id <= MODULE_CALLS * turns(settings) && System.nanoTime() < end; id++) {
       now += 3_000;
       int callClass = id % settings.classes().size();
       module.handle(now, new Call(id, settings.classes().get(callClass).giveUp(), 0,
@@ -80,20 +89,20 @@
   }
 
   /** The framing of both wires, without a socket. */
-  static void framing() {
-    WorkerPool.rehearse(PARSED);
+  static void framing(int turns) {
+    WorkerPool.rehearse(turns);
   }
 
   /** Asks the front at its own port for heartbeats, over and over. */
-  static Future<Void> sockets(Vertx vertx, SocketAddress address) {
+  static Future<Void> sockets(Vertx vertx, SocketAddress address, int turns) {
     Promise<Void> done = Promise.promise();
     long limit = vertx.setTimer(SOCKET_MILLIS, t -> done.tryComplete());
     vertx.createNetClient().connect(address.port(), address.host()).onFailure(e -> done.tryComplete())
-        .onSuccess(socket -> ask(socket, done));
+        .onSuccess(socket -> ask(socket, turns, done));
     return done.future().onComplete(v -> vertx.cancelTimer(limit));
   }
 
-  private static void ask(NetSocket socket, Promise<Void> done) {
+  private static void ask(NetSocket socket, int turns, Promise<Void> done) {
     int answer = RpcFront.heartbeatAnswerBytes();
     int[] heard = {0};
     int[] asked = {0};
@@ -108,7 +117,7 @@
     socket.handler(b -> {
       heard[0] += b.length();
       if (heard[0] >= asked[0] * answer) {
-        if (asked[0] >= HEARTBEATS) {
+        if (asked[0] >= turns) {
           done.tryComplete();
         } else {
           round.run();
--- a/src/main/java/umberrun/Server.java
+++ b/src/main/java/umberrun/Server.java
@@ -75,7 +75,7 @@
 
   private Future<Void> start() {
     Rehearsal.module(config.settings());
-    Rehearsal.framing();
+    Rehearsal.framing(Rehearsal.turns(config.settings()));
     return open();
   }
 
@@ -131,7 +131,8 @@
     }
     return rpc.listen(config.listen()).compose(port -> {
       rpcPort = port;
-      return Rehearsal.sockets(vertx, SocketAddress.inetSocketAddress(port, config.listen().host()));
+      return Rehearsal.sockets(vertx, SocketAddress.inetSocketAddress(port, config.listen().host()),
+          Rehearsal.turns(config.settings()));
     }).compose(v -> invoke == null ? Future.succeededFuture(0) : invoke.listen(operator.invoke())).map(port -> {
       invokePort = port;
       rolls.forEach(Roll::start);
--- a/src/test/java/umberrun/DeployTest.java
+++ b/src/test/java/umberrun/DeployTest.java
@@ -19,6 +19,8 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.stream.Stream;
 import org.junit.Test;
+import saddlestall.Dispatcher.Settings;
+import saddlestall.benchlink.SettingsJson;
 import umberrun.front.rpc.RpcFront;
 
 /** What the deploy file and the build agree on. */
@@ -55,7 +57,10 @@
 
   /** Planned restarts follow each other: a node that rehearses for long is not back when the last one ends. */
   @Test
-  public void aStartAsksItselfAFewHundredTimesAtMost() throws Exception {
+  public void aStartRehearsesForTheCallsThatItsSettingsLetExpect() throws Exception {
+    assertEquals(300, Rehearsal.turns(settings("{QuotaPerS:74},{QuotaPerS:138}")));
+    assertEquals(2_850, Rehearsal.turns(settings("{QuotaPerS:2850}")));
+    assertEquals(3_200, Rehearsal.turns(settings("{QuotaPerS:1e9}")));
     Vertx vertx = Vertx.vertx();
     try {
       int one = RpcFront.rehearsalRequest(1).length();
@@ -67,16 +72,21 @@
       }));
       int port = front.listen(0, "127.0.0.1").toCompletionStage().toCompletableFuture().get().actualPort();
       Promise<Void> done = Promise.promise();
-      vertx.runOnContext(v -> Rehearsal.sockets(vertx, SocketAddress.inetSocketAddress(port, "127.0.0.1"))
-          .onComplete(done));
+      vertx.runOnContext(v -> Rehearsal.sockets(vertx, SocketAddress.inetSocketAddress(port, "127.0.0.1"),
+          300).onComplete(done));
       done.future().toCompletionStage().toCompletableFuture().get();
       int asked = bytes.get() / one;
-      assertTrue("asked " + asked + " times", asked >= 200 && asked <= 400);
+      assertTrue("asked " + asked + " times", asked >= 300 && asked < 320);
     } finally {
       vertx.close().toCompletionStage().toCompletableFuture().get();
     }
   }
 
+  private static Settings settings(String tenants) throws Exception {
+    return SettingsJson.read("{Siblings:3,Classes:[{Name:a,Aim:400,GiveUp:4000,Idempotency:idempotent,Worth:1}],Tenants:["
+        + tenants + "]}");
+  }
+
   private static String runCommand() throws IOException {
     return Files.readAllLines(Path.of("deploy/balancer.toml")).stream().filter(l -> l.startsWith("run"))
         .findFirst().orElseThrow();
--- a/src/test/java/umberrun/StartAndServe.java
+++ b/src/test/java/umberrun/StartAndServe.java
@@ -3,6 +3,7 @@
 import java.nio.file.Path;
 import java.util.HashMap;
 import java.util.Map;
+import saddlestall.Dispatcher.Settings;
 import umberrun.config.Config;
 import umberrun.stats.Counters.Count;
 
@@ -18,8 +19,9 @@
   public static void main(String[] args) throws Exception {
     Map<String, String> env = new HashMap<>(System.getenv());
     env.put("EDGE_CONFIG", Path.of("examples", "config.json").toString());
-    Rehearsal.module(Config.read(env).settings());
-    Rehearsal.framing();
+    Settings settings = Config.read(env).settings();
+    Rehearsal.module(settings);
+    Rehearsal.framing(Rehearsal.turns(settings));
     try (Scenario s = Scenario.of("w1")) {
       s.worker("w1").answersAll = true;
       int id = 0;
