Ask links that owe answers and say nothing, and close the dead ones in time

A probe of each time-out shows most of them in batches of 10 to 15 on one connection that has said nothing since (one: silent for 1.07 s with 14 out, all of which expired at their 1.4 or 2.6 s). The front end took such a link for healthy: it was retired only when a time-out had passed (Link.expired), and until then each new call to that worker went down the same connection.

Ruled out, measured: shedding.

Change: a link with three or more out and nothing heard for 0.3 s is asked with NOOP, and after as long without a byte closed: its attempts end as resets while there is time for another try. Whatever is heard ends the wait, so that a slow worker keeps its connection and nothing of it is sent twice.

--- a/src/main/java/umberrun/worker/Link.java
+++ b/src/main/java/umberrun/worker/Link.java
@@ -27,6 +27,10 @@
   private static final int MOST_STALE = 256;
   /** A worker writes an answer in one piece: one that is not whole by then never will be. */
   private static final long STUCK_MILLIS = 250;
+  /** One that owes so many answers and says nothing for so long is asked whether it is there, and has as long again. */
+  private static final int OWES_MANY = 3;
+  private static final long SILENT_MILLIS = 300;
+  private static final Buffer ASK = RespParser.command(Buffer.buffer("NOOP"), Buffer.buffer("here"));
 
   private final Vertx vertx;
   private final Clock clock;
@@ -41,6 +45,7 @@
   private RespParser parser;
   private long idleTimer = -1;
   private long stuckTimer = -1;
+  private long silentTimer = -1;
   private boolean retired;
   private boolean closed;
 
@@ -76,6 +81,8 @@
     if (parser.read() > before) {
       cancelStuck();
     }
+    cancelSilent();
+    watchSilence(false);
     if (parser.isMidway() && stuckTimer < 0 && !closed) {
       stuckTimer = vertx.setTimer(STUCK_MILLIS, t -> {
         stuckTimer = -1;
@@ -91,6 +98,31 @@
     }
   }
 
+  /**
+   * Guards what is out here, and what would follow, against a connection that stays open and is of no further use:
+   * the worker may be well, and without an answer all would wait until their time is up.
+   */
+  private void watchSilence(boolean asked) {
+    if (silentTimer < 0 && !closed && out.size() >= OWES_MANY) {
+      silentTimer = vertx.setTimer(SILENT_MILLIS, t -> {
+        silentTimer = -1;
+        if (asked) {
+          close();
+        } else if (out.size() >= OWES_MANY) {
+          socket.write(ASK);
+          watchSilence(true);
+        }
+      });
+    }
+  }
+
+  private void cancelSilent() {
+    if (silentTimer >= 0) {
+      vertx.cancelTimer(silentTimer);
+      silentTimer = -1;
+    }
+  }
+
   /** The connection never came up: nothing that waits for it has run. */
   void refused() {
     end(Code.CONNECT_FAILED);
@@ -164,6 +196,7 @@
       x.writtenAt = now;
       out.put(x.id, x);
     }
+    watchSilence(false);
   }
 
   private void expired(Exchange x) {
@@ -219,6 +252,7 @@
     closed = true;
     cancelIdle();
     cancelStuck();
+    cancelSilent();
     if (socket != null) {
       socket.close();
     }
--- a/src/test/java/umberrun/RpcScenariosTest.java
+++ b/src/test/java/umberrun/RpcScenariosTest.java
@@ -137,6 +137,47 @@
   }
 
   /** A second copy of an answer does not end the next attempt of the same call. */
+  /** A connection that stays open and says nothing more is given up in time for another try on a new one. */
+  @Test
+  public void aSilentConnectionIsAskedAndThenClosed() throws Exception {
+    try (Scenario s = Scenario.of("w1")) {
+      s.play("""
+          c1 send 1 date-lookup budget=8000
+          w1 expect RUN 2d41
+          c1 send 2 date-lookup budget=8000
+          w1 expect RUN 2d42
+          c1 send 3 date-lookup budget=8000
+          w1 expect RUN 2d43
+          w1 expect NOOP here
+          w1 expect RUN
+          w1 send 200 n=w
+          c1 expect null
+          """);
+      assertEquals(3, s.server.counters().get(Count.ATTEMPTS_RESET));
+    }
+  }
+
+  /** A worker that is only slow says so, and nothing is sent to it twice. */
+  @Test
+  public void aSlowWorkerKeepsItsConnection() throws Exception {
+    try (Scenario s = Scenario.of("w1")) {
+      s.play("""
+          c1 send 1 slot-change budget=8000
+          w1 expect RUN 2d41
+          c1 send 2 slot-change budget=8000
+          w1 expect RUN 2d42
+          c1 send 3 slot-change budget=8000
+          w1 expect RUN 2d43
+          w1 expect NOOP here
+          w1 send alive
+          w1 expect NOOP here
+          w1 send alive
+          w1 expect NOOP here
+          """);
+      assertEquals(0, s.server.counters().get(Count.ATTEMPTS_RESET));
+    }
+  }
+
   @Test
   public void aSecondCopyOfAnAnswerIsPassedOver() throws Exception {
     try (Scenario s = Scenario.of("w1")) {
