Learning from a running instance: facts by age, peers, and a successor that takes over

Need: a restarted instance knows its list and nothing else (issue 'Learning from a running instance'). Change: package learning (Fact, Knowledge, Calibration, Screen, Page, Budget free of I/O; Learning and PeerServer over HTTP/1.1), core.Hearsay between names and the module, Dispatcher.Known events and recall, the operator's file with checks; an elder leaves its facts in TMPDIR. Off on the platform but for the successor.

--- a/src/main/java/saddlestall/Choice.java
+++ b/src/main/java/saddlestall/Choice.java
@@ -146,6 +146,8 @@
       onLoaded(e);
     } else if (event instanceof Left e) {
       close(open.get(e.call()));
+    } else if (event instanceof Known e) {
+      onKnown(e);
     } else if (event instanceof Started e && open.get(e.call()) != null) {
       open.get(e.call()).streaming = true;
     }
@@ -262,11 +264,44 @@
     return rated && m.rating() > 0 ? m.rating() : memory;
   }
 
+  /** Hearsay is a prior belief: it holds where nothing was seen here, and until something is. */
+  private void onKnown(Known known) {
+    if (known instanceof KnownCopy e) {
+      Worker w = workers.get(e.worker());
+      if (w != null && w.state == State.READY && now - e.age() > w.cameUp) {
+        Copy c = w.copies.computeIfAbsent(e.function(), id -> new Copy());
+        if (c.seenAt == 0 && c.inFlight == 0 && c.readyAt == 0) {
+          c.seenAt = now - e.age();
+          c.trust = clamp(e.weight(), 0, 0.99);
+        }
+      }
+    } else if (known instanceof KnownWorker e) {
+      Worker w = workers.get(e.worker());
+      if (w != null && w.state == State.READY && w.pace == 1 && w.bad == 0 && w.out.isEmpty()) {
+        w.pace += e.weight() * (clamp(e.pace(), 0.2, 6) - 1);
+        w.bad = e.weight() * clamp(e.bad(), 0, 1);
+      }
+    } else if (known instanceof KnownFunction e && e.callClass() >= 0
+        && e.callClass() < settings.classes().size()) {
+      Function f = functions.computeIfAbsent(e.function(), Function::new);
+      if (f.lastAt == 0) {
+        f.callClass = e.callClass();
+        f.lanes = clamp(e.lanes(), 1, 64);
+        f.loadTime = Math.max(0, e.loadTime());
+        f.recent = e.weight() * Math.max(0, e.recent());
+        heardOf += f.recent;
+        f.lastAt = now - e.age();
+        f.servedAt = f.lastAt;
+      }
+    }
+  }
+
   private void onLoaded(Loaded e) {
     Worker w = workers.get(e.worker());
     Copy c = w == null ? null : w.copies.get(e.function());
     if (c != null) {
       c.readyAt = 0;
+      c.trust = e.code() == Code.OK && e.copies() > 0 ? 1 : c.trust;
       c.seenAt = e.code() == Code.OK && e.copies() > 0 ? now : c.seenAt;
     }
   }
@@ -292,6 +327,7 @@
   /** How many calls all front ends take, and over which span the mix is taken. */
   private void watchMix() {
     taken *= StrictMath.exp(-TICK / (mixSpan * SECOND));
+    heardOf *= StrictMath.exp(-TICK / (mixSpan * SECOND));
     mixAge = Math.min(mixAge + TICK, (long) (4 * mixSpan * SECOND));
     double seconds = mixSpan * (1 - StrictMath.exp(-mixAge / (mixSpan * SECOND)));
     double quota = settings.tenants().stream().mapToDouble(Tenant::quotaPerSecond).sum();
@@ -431,7 +467,7 @@
    */
   private double demand(Function f) {
     double calls = recent(f);
-    return Math.max(calls - 0.5, calls / 2) / (taken + MIX_PRIOR) * fleetRate;
+    return Math.max(calls - 0.5, calls / 2) / (taken + heardOf + MIX_PRIOR) * fleetRate;
   }
 
   /** How many homes the demand for a function fills; a fraction is rounded by this front end's phase. */
@@ -454,7 +490,7 @@
       return now < copy.readyAt ? 0 : RUMOUR;
     }
     double age = (now - copy.seenAt) / (double) keep();
-    double own = copy.inFlight > 0 ? SURE : SURE * clamp((1.3 - age) / 0.4, 0, 1);
+    double own = copy.inFlight > 0 ? SURE : SURE * copy.trust * clamp((1.3 - age) / 0.4, 0, 1);
     return copy.seenAt == 0 ? peers : Math.max(own, peers);
   }
 
@@ -706,6 +742,7 @@
         press(e.took() / (double) a.call.kind.aim());
       }
       a.copy.seenAt = now;
+      a.copy.trust = 1;
       a.copy.readyAt = 0;
       w.fullWait[cell(a.call)] = 0;
     } else if (e.code() == Code.TIMEOUT || e.code() == Code.CANCELLED) {
--- a/src/main/java/saddlestall/Dispatcher.java
+++ b/src/main/java/saddlestall/Dispatcher.java
@@ -16,6 +16,9 @@
   /** Takes one event at clock time {@code now} and passes the actions it leads to, in order. */
   void handle(long now, Event event, Consumer<Action> actions);
 
+  /** Passes on what this module saw for itself, as others would be told of it. */
+  void recall(long now, Consumer<Known> facts);
+
   // ---------------------------------------------------------------- settings
 
   /** What one front end is told at its start. Places, classes and tenants are known by position only. */
@@ -60,7 +63,7 @@
 
   // ---------------------------------------------------------------- events
 
-  sealed interface Event permits Members, Call, Started, Outcome, Left, Due, Loaded, Heard, Probed { }
+  sealed interface Event permits Members, Call, Started, Outcome, Left, Due, Loaded, Heard, Probed, Known { }
 
   /** News of the list of workers. */
   record Members(ListKind kind, List<Member> members) implements Event { }
@@ -113,6 +116,19 @@
   /** The answer to a {@link Probe}. */
   record Probed(long took, int worker, Code code, float[] report) implements Event { }
 
+  /** What another instance saw {@code age} ago; {@code weight}, up to 1, is what it is worth at that age. */
+  sealed interface Known extends Event permits KnownCopy, KnownWorker, KnownFunction { }
+
+  /** A copy of a function stood loaded at a worker. */
+  record KnownCopy(int worker, long function, long age, double weight) implements Known { }
+
+  /** How a worker did: its time over the usual, and its share of bad outcomes. */
+  record KnownWorker(int worker, double pace, double bad, long age, double weight) implements Known { }
+
+  /** A function was served; {@code recent} calls of late, decaying. */
+  record KnownFunction(long function, int callClass, double lanes, long loadTime, double recent, long age,
+      double weight) implements Known { }
+
   // ---------------------------------------------------------------- actions
 
   sealed interface Action
--- a/src/main/java/saddlestall/Memory.java
+++ b/src/main/java/saddlestall/Memory.java
@@ -7,8 +7,13 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Consumer;
 import saddlestall.Dispatcher.Call;
 import saddlestall.Dispatcher.CallClass;
+import saddlestall.Dispatcher.Known;
+import saddlestall.Dispatcher.KnownCopy;
+import saddlestall.Dispatcher.KnownFunction;
+import saddlestall.Dispatcher.KnownWorker;
 import saddlestall.Dispatcher.Member;
 import saddlestall.Dispatcher.State;
 
@@ -36,6 +41,8 @@
   double served;
   /** Own calls within the span of the mix (seconds), its age, and the calls of all front ends a second. */
   double taken;
+  /** Others' calls that hearsay added to the mix, decaying alike: without them its functions would look in demand. */
+  double heardOf;
   double mixSpan;
   long mixAge;
   double fleetRate;
@@ -108,6 +115,25 @@
     }
   }
 
+  /** What was seen here, as others would be told of it; hearsay is left out, as it is others' to tell. */
+  public void recall(long now, Consumer<Known> facts) {
+    for (Worker w : workers.values()) {
+      if (w.state == State.READY) {
+        facts.accept(new KnownWorker(w.id, w.pace, w.bad, 0, 1));
+        w.copies.forEach((function, c) -> {
+          if (c.seenAt > 0 && c.trust == 1) {
+            facts.accept(new KnownCopy(w.id, function, now - c.seenAt, 1));
+          }
+        });
+      }
+    }
+    for (Function f : functions.values()) {
+      if (f.servedAt > 0) {
+        facts.accept(new KnownFunction(f.id, f.callClass, f.lanes, (long) f.loadTime, f.recent, now - f.lastAt, 1));
+      }
+    }
+  }
+
   /** Drops times up to {@code last}. */
   static void prune(ArrayDeque<Long> times, long last) {
     while (!times.isEmpty() && times.peek() <= last) {
@@ -135,6 +161,8 @@
   static final class Copy {
     /** Last proof that it stood loaded; 0: none. */
     long seenAt;
+    /** What that proof is worth: 1 for an own one, less for hearsay. */
+    double trust = 1;
     /** When a load under way should be over; 0: none known. */
     long readyAt;
     /** Own calls there. */
--- a/src/main/java/umberrun/Server.java
+++ b/src/main/java/umberrun/Server.java
@@ -25,6 +25,8 @@
 import umberrun.front.invoke.InvokeFront;
 import umberrun.front.rpc.RpcFront;
 import umberrun.handover.Handover;
+import umberrun.learning.Learning;
+import umberrun.learning.PeerServer;
 import umberrun.ops.Door;
 import umberrun.roll.ChangeLog;
 import umberrun.roll.Consul;
@@ -62,7 +64,9 @@
   private Handover handover;
   private long letGoTimer = -1;
   private volatile boolean fit;
+  private Future<Void> learned = Future.succeededFuture();
   private int doorPort;
+  private int peerPort;
   private int rpcPort;
   private int invokePort;
 
@@ -147,26 +151,42 @@
       rolls.add(new Consul(vertx, owner, config.names(), file.consul(), config.name(), file.invoke(), counters));
     }
     return openDoor()
+        .compose(v -> openToPeers())
+        .compose(v -> takeOver()) // first, so that the process that is replaced has time to leave what it knows
         .compose(v -> rpc.privately(config.listen().host(),
             address -> Rehearsal.sockets(vertx, address, Rehearsal.turns(config.settings()))))
-        .compose(v -> takeOver())
         .compose(v -> {
           rolls.forEach(Roll::start);
           return onTime();
         })
+        .compose(v -> learned)
+        .compose(v -> handover == null ? Future.succeededFuture() : handover.ready())
         .compose(v -> rpc.listen(config.listen()))
         .compose(port -> {
           rpcPort = port;
+          duty.serve(clock.now()); // in the same turn: a heartbeat that is told no keeps clients away
+          fit = duty.isFit();
           return invoke == null ? Future.succeededFuture(0) : invoke.listen(file.invoke());
         })
-        .compose(port -> {
+        .map(port -> {
           invokePort = port;
-          duty.serve(clock.now());
-          fit = duty.isFit();
-          return handover == null ? Future.succeededFuture() : handover.ready();
+          return null;
         });
   }
 
+  /** Lets others ask, and begins to ask them, while the start goes on. */
+  private Future<Void> openToPeers() {
+    Learning.Settings settings = config.file() == null ? null : config.file().learning();
+    if (settings == null) {
+      return Future.succeededFuture();
+    }
+    learned = new Learning(vertx, owner, clock, counters, settings, config.seed(), Server::log).learn();
+    return new PeerServer(vertx, owner, clock, counters, settings).listen(settings.listen()).map(port -> {
+      peerPort = port;
+      return null;
+    });
+  }
+
   private Future<Void> openDoor() {
     if (config.door() == null) {
       return Future.succeededFuture();
@@ -182,7 +202,7 @@
     if (shared == null) {
       return Future.succeededFuture();
     }
-    return Handover.open(vertx, owner, shared, Server::log, this::share).map(h -> {
+    return Handover.open(vertx, owner, clock, shared, Server::log, this::share).map(h -> {
       handover = h;
       return null;
     });
@@ -277,6 +297,10 @@
     return rpcPort;
   }
 
+  int peerPort() {
+    return peerPort;
+  }
+
   int doorPort() {
     return doorPort;
   }
--- a/src/main/java/umberrun/config/Config.java
+++ b/src/main/java/umberrun/config/Config.java
@@ -57,6 +57,8 @@
   private static final int SPARE_SOCKETS = 40;
   /** Kept for operators, whatever the clients do: callers may hold a connection for seconds without a whole call. */
   private static final int DOOR_SOCKETS = 16;
+  /** Those that ask what this instance knows, and those that it asks. */
+  private static final int PEER_SOCKETS = 12;
 
   /** Reads the variables and the files that they name. */
   public static Config read(Map<String, String> env) throws BadConfig {
@@ -95,7 +97,9 @@
     int links = sockets / 8;
     int invoke = file == null || file.invoke() == null ? 0 : sockets / 8;
     int operators = door == null ? 0 : DOOR_SOCKETS;
-    return new Shares(Math.max(1, sockets - links - invoke - operators - SPARE_SOCKETS), invoke, links, operators);
+    int peers = file == null || file.learning() == null ? 0 : PEER_SOCKETS;
+    return new Shares(Math.max(1, sockets - links - invoke - operators - peers - SPARE_SOCKETS), invoke, links,
+        operators);
   }
 
   /** How many bytes of answers may wait for clients that take them slowly, all together. */
--- a/src/main/java/umberrun/config/OperatorFile.java
+++ b/src/main/java/umberrun/config/OperatorFile.java
@@ -1,12 +1,16 @@
 package umberrun.config;
 
+import com.google.gson.JsonElement;
 import com.google.gson.JsonObject;
 import io.vertx.core.net.SocketAddress;
+import java.util.ArrayList;
+import java.util.List;
 import umberrun.config.Config.BadConfig;
 import umberrun.core.Invocations.Bounds;
+import umberrun.learning.Learning;
 
-/** The operator's own file: whether and where the invoke API listens, and which Consul it works with. */
-public record OperatorFile(SocketAddress invoke, Bounds deferred, Consul consul) {
+/** The operator's own file: whether and where the invoke API listens, which Consul it works with, whom to learn from. */
+public record OperatorFile(SocketAddress invoke, Bounds deferred, Consul consul, Learning.Settings learning) {
 
   /** The agent, the name that we register under, and the name whose instances are our workers (or empty). */
   public record Consul(SocketAddress agent, String service, String workers, long waitMillis) { }
@@ -31,7 +35,28 @@
         consul.has("agent") ? new Consul(Config.address(consul.get("agent").getAsString(), "consul.agent"),
             consul.has("service") ? consul.get("service").getAsString() : "umberrun",
             consul.has("workers") ? consul.get("workers").getAsString() : "",
-            figure(consul, "wait_ms", 30_000)) : null);
+            figure(consul, "wait_ms", 30_000)) : null, learning(part(o, "learning")));
+  }
+
+  /** Null where it is off. Whoever asks others is to be asked too, so that there is somebody to ask. */
+  private static Learning.Settings learning(JsonObject o) throws BadConfig {
+    if (o.isEmpty()) {
+      return null;
+    }
+    if (!o.has("listen")) {
+      throw new BadConfig("learning needs learning.listen: other instances ask there");
+    }
+    List<SocketAddress> peers = new ArrayList<>();
+    if (o.has("peers")) {
+      if (!o.get("peers").isJsonArray()) {
+        throw new BadConfig("learning.peers must be a list of addresses");
+      }
+      for (JsonElement e : o.getAsJsonArray("peers")) {
+        peers.add(Config.address(e.getAsString(), "learning.peers"));
+      }
+    }
+    return new Learning.Settings(Config.address(o.get("listen").getAsString(), "learning.listen"), List.copyOf(peers),
+        figure(o, "deadline_ms", 400), (int) figure(o, "page_bytes", 65_536), figure(o, "bytes_per_s", 524_288));
   }
 
   private static JsonObject part(JsonObject o, String key) throws BadConfig {
--- a/src/main/java/umberrun/core/Owner.java
+++ b/src/main/java/umberrun/core/Owner.java
@@ -46,6 +46,8 @@
 import saddlestall.Dispatcher.Watch;
 import umberrun.core.Bans.Standing;
 import umberrun.core.WorkerPort.Ending;
+import umberrun.learning.Fact;
+import umberrun.learning.Screen;
 import umberrun.stats.Counters;
 import umberrun.stats.Counters.Count;
 
@@ -84,6 +86,7 @@
   private final LagMeter lag;
   private final Roster roster = new Roster();
   private final Bans bans;
+  private final Hearsay hearsay;
   private final Map<Long, Buffer> functions = new LinkedHashMap<>(64, 0.75f, true) {
     private static final long serialVersionUID = 1;
 
@@ -112,6 +115,7 @@
     this.settings = settings;
     this.log = log;
     this.lag = new LagMeter(vertx, clock);
+    this.hearsay = new Hearsay(settings);
     this.bans = new Bans(settings.rules().drainGrace());
     this.workers = workers.apply(this);
     this.module = module.apply(actions::add);
@@ -331,6 +335,7 @@
       finish(call);
       call.reply.served(e.body());
     }
+    hearsay.check(attempt.worker(), call.request.function(), e.note(), clock.now());
     try {
       tell(new Outcome(call.id, attempt.index, attempt.worker(), e.code(), clock.now() - attempt.sentAt, call.over,
           e.note(), e.crowd(), e.report()));
@@ -474,6 +479,49 @@
     return done.future();
   }
 
+  // ---------------------------------------------------------------- what instances know of each other's
+
+  /** Who this instance is in the facts that it passes on; another one with every start. */
+  public String origin() {
+    return hearsay.origin();
+  }
+
+  /** All facts that this instance has: what it saw itself by now, and what it heard. */
+  public Future<List<Fact>> facts() {
+    Promise<List<Fact>> done = Promise.promise();
+    post(() -> {
+      long now = clock.now();
+      module.recall(now, known -> hearsay.saw(known, id -> {
+        Roster.Entry entry = roster.find(id);
+        return entry == null ? null : entry.endpoint().name();
+      }, now));
+      done.complete(hearsay.facts());
+    });
+    return done.future();
+  }
+
+  /** Takes in what others saw; done, with how many of the facts were of use, once the module was told. */
+  public Future<Integer> hear(List<Fact> facts) {
+    Promise<Integer> done = Promise.promise();
+    post(() -> {
+      long now = clock.now();
+      int used = 0;
+      for (Fact fact : facts) {
+        Roster.Entry entry = roster.find(fact.subject().worker());
+        Standing s = entry == null ? null : standing(entry);
+        Dispatcher.Known known = hearsay.heard(fact, entry == null ? 0 : entry.id(),
+            s == null ? null : new Screen.Standing(s.state(), s.since()), now);
+        if (known != null) {
+          counters.add(Count.FACTS_USED);
+          tell(known);
+          used++;
+        }
+      }
+      done.complete(used);
+    });
+    return done.future();
+  }
+
   private void restate(Iterable<String> names) {
     List<Member> members = new ArrayList<>();
     for (String name : names) {
--- a/src/main/java/umberrun/core/Roster.java
+++ b/src/main/java/umberrun/core/Roster.java
@@ -47,6 +47,11 @@
     return byName.get(name);
   }
 
+  /** A worker by its number, or null where it is not on the list now. */
+  Entry find(int id) {
+    return byName.get(names.get(id));
+  }
+
   boolean wasListed(String name) {
     return everListed.contains(name);
   }
--- a/src/main/java/umberrun/handover/Handover.java
+++ b/src/main/java/umberrun/handover/Handover.java
@@ -11,9 +11,11 @@
 import java.util.UUID;
 import java.util.function.Consumer;
 import java.util.function.UnaryOperator;
+import umberrun.core.Clock;
 import umberrun.core.Owner;
 import umberrun.handover.Ledger.Other;
 import umberrun.handover.Ledger.State;
+import umberrun.learning.Exchange;
 
 /**
  * What two processes of one front end tell each other while one replaces the other: the workers that operators took
@@ -26,30 +28,36 @@
   private static final long AGREE_MILLIS = 600;
   /** Workers that came back, of which a successor must know that they are cold; the oldest go first. */
   private static final int MOST_BACK = 1_024;
+  private static final long FACTS_MICROS = 400_000;
+  private static final int MOST_FACT_BYTES = 512 << 10;
+  private static final long MOST_FACT_AGE = 10_000_000;
 
   private final Vertx vertx;
   private final Owner owner;
   private final Ledger ledger;
+  private final Clock clock;
   private final Consumer<String> log;
   private final Consumer<Boolean> company;
   private boolean ready;
   private long applied;
   private boolean accompanied;
+  private long factsAt;
 
   /** @param company is told when another process of this front end begins or ceases to live beside this one */
-  private Handover(Vertx vertx, Owner owner, Ledger ledger, Consumer<String> log, Consumer<Boolean> company) {
+  private Handover(Vertx vertx, Owner owner, Clock clock, Ledger ledger, Consumer<String> log, Consumer<Boolean> company) {
     this.vertx = vertx;
     this.owner = owner;
+    this.clock = clock;
     this.ledger = ledger;
     this.log = log;
     this.company = company;
   }
 
   /** Takes over what a process before this one left in a folder; done once that holds here. */
-  public static Future<Handover> open(Vertx vertx, Owner owner, Path folder, Consumer<String> log,
+  public static Future<Handover> open(Vertx vertx, Owner owner, Clock clock, Path folder, Consumer<String> log,
       Consumer<Boolean> company) {
     return vertx.executeBlocking(() -> new Ledger(folder, UUID.randomUUID().toString(), log)).compose(ledger -> {
-      Handover h = new Handover(vertx, owner, ledger, log, company);
+      Handover h = new Handover(vertx, owner, clock, ledger, log, company);
       return h.catchUp().onSuccess(v -> {
         vertx.setTimer(POLL_MILLIS, t -> h.poll());
       }).map(h);
@@ -72,10 +80,38 @@
                 : "this process is the only one now"));
             company.accept(accompanied);
           }
-          return news.state == null ? Future.succeededFuture() : apply(news.state);
+          boolean begins = ready && news.others.stream().anyMatch(o -> !o.ready());
+          return (news.state == null ? Future.<Void>succeededFuture() : apply(news.state))
+              .compose(v -> begins ? leaveFacts() : Future.succeededFuture());
         });
   }
 
+  /** What this process knows, for the one that begins beside it; now and then, as the other takes a second to begin. */
+  private Future<Void> leaveFacts() {
+    if (clock.now() - factsAt < FACTS_MICROS) {
+      return Future.succeededFuture();
+    }
+    factsAt = clock.now();
+    return owner.facts().compose(facts -> {
+      String page = Exchange.page(owner.origin(), 0, facts, 0, MOST_FACT_BYTES, clock.now());
+      return vertx.executeBlocking(() -> {
+        ledger.leaveFacts(page);
+        return null;
+      });
+    });
+  }
+
+  /** Takes in what the process that is being replaced knows. Not having it costs no more than a cold start. */
+  private Future<Void> hearFacts() {
+    return vertx.executeBlocking(ledger::factsLeft).compose(left -> {
+      if (left == null || left.age() > MOST_FACT_AGE) {
+        return Future.succeededFuture();
+      }
+      return Exchange.hear(owner, left.page(), clock.now(), left.age()).onSuccess(used -> log.accept("handover: took over "
+          + used + " facts, " + left.age() / 1_000 + " ms old")).mapEmpty();
+    });
+  }
+
   private Future<Void> apply(State state) {
     return owner.setOut(state.out(), state.back()).compose(v -> {
       applied = Math.max(applied, state.seq());
@@ -97,8 +133,13 @@
    * wait for this process to apply it, or it is there to be read.
    */
   public Future<Void> ready() {
-    ready = true;
-    return present().compose(v -> catchUp());
+    return hearFacts().recover(e -> {
+      log.accept("handover: what the other process knows can't be used: " + e.getMessage());
+      return Future.succeededFuture();
+    }).compose(v -> {
+      ready = true;
+      return present();
+    }).compose(v -> catchUp());
   }
 
   /** Takes a worker out, or ends that, in all processes; false where it was never listed. */
--- a/src/main/java/umberrun/handover/Ledger.java
+++ b/src/main/java/umberrun/handover/Ledger.java
@@ -34,6 +34,10 @@
   /** Another process that lives: whether it takes clients, and the last change that binds it. */
   record Other(boolean ready, long applied) { }
 
+  /** What another process left, {@code age} microseconds ago. */
+  record Left(String page, long age) { }
+
+  private static final String FACTS = "facts.json";
   private static final int FORM = 1;
   private static final long MOST_BYTES = 1 << 20;
   private static final long LOCK_MILLIS = 400;
@@ -152,10 +156,14 @@
     return o;
   }
 
-  /** Guards readers against half a file. */
   private void replace(String name, JsonObject content) throws IOException {
+    replace(name, content.toString());
+  }
+
+  /** Guards readers against half a file. */
+  private void replace(String name, String content) throws IOException {
     Path part = folder.resolve(self + ".part");
-    Files.writeString(part, content.toString());
+    Files.writeString(part, content);
     Files.move(part, folder.resolve(name), StandardCopyOption.ATOMIC_MOVE);
   }
 
@@ -167,6 +175,26 @@
     replace(self + JSON, o);
   }
 
+  /** Leaves what this process knows to the one that begins beside it. */
+  void leaveFacts(String page) throws IOException {
+    replace(FACTS, page);
+  }
+
+  /** What another process left, and how long ago in microseconds; null where there is nothing. */
+  Left factsLeft() {
+    Path file = folder.resolve(FACTS);
+    try {
+      if (!Files.exists(file) || Files.size(file) > MOST_BYTES) {
+        return null;
+      }
+      long age = System.currentTimeMillis() - Files.getLastModifiedTime(file).toMillis();
+      return new Left(Files.readString(file), 1_000 * Math.max(0, age));
+    } catch (IOException e) {
+      log.accept("handover: " + e);
+      return null;
+    }
+  }
+
   /** The other processes that live; what dead ones have left is removed. */
   List<Other> others() {
     List<Other> others = new ArrayList<>();
--- a/src/test/java/saddlestall/Bench.java
+++ b/src/test/java/saddlestall/Bench.java
@@ -55,6 +55,10 @@
     return this;
   }
 
+  void recall(java.util.function.Consumer<Dispatcher.Known> facts) {
+    choice.recall(now, facts);
+  }
+
   Bench at(long millis) {
     now += millis * MS;
     return this;
--- a/src/test/java/saddlestall/ChoiceTest.java
+++ b/src/test/java/saddlestall/ChoiceTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 import static saddlestall.Bench.KEYED;
@@ -13,6 +14,7 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
 import org.junit.jupiter.api.Test;
@@ -424,6 +426,40 @@
     assertTrue(lines.stream().allMatch(l -> l.length() <= 110));
   }
 
+  /** What another instance saw draws calls there at once; what this one sees for itself stands against it. */
+  @Test
+  void hearsayIsAPriorBelief() {
+    int there = 0;
+    int without = 0;
+    for (int seed = 1; seed <= 200; seed++) {
+      Bench b = new Bench(Bench.settings(false, Group.ALL), seed).list(6).call(1, SAFE, 7);
+      without += b.sends(1).get(0).worker() == 4 ? 1 : 0;
+      b = new Bench(Bench.settings(false, Group.ALL), seed).list(6);
+      b.event(new KnownCopy(4, 7, 1_000 * MS, 0.9)).call(1, SAFE, 7);
+      there += b.sends(1).get(0).worker() == 4 ? 1 : 0;
+      List<Known> own = new ArrayList<>();
+      b.recall(own::add);
+      assertTrue(own.stream().noneMatch(k -> k instanceof KnownCopy), "hearsay is not passed on as seen");
+      b.outcome(b.sends(1).get(0), 0, Code.OK, 100);
+      b.recall(own::add);
+      assertTrue(own.stream().anyMatch(k -> k instanceof KnownCopy c && c.function() == 7));
+    }
+    assertTrue(there > 3 * without, "drawn there " + there + " times, without hearsay " + without);
+  }
+
+  /** Rules 3 and 4: no word of others makes a worker one that drains, or that started since. */
+  @Test
+  void hearsayRevivesNoWorker() {
+    Bench b = bench().list(3);
+    b.event(new Members(ListKind.DELTA, List.of(new Member(2, 0, 0, 0, State.DRAINING, 1, 0))));
+    b.event(new KnownCopy(2, 7, 0, 1)).event(new KnownWorker(2, 1, 0, 0, 1)).event(new KnownCopy(99, 7, 0, 1));
+    for (int id = 1; id <= 20; id++) {
+      b.call(id, SAFE, 7);
+      assertNotEquals(2, b.sends(id).get(0).worker());
+      b.outcome(b.sends(id).get(0), 0, Code.OK, 100);
+    }
+  }
+
   /** Waits for loads are no overload: the calls that come meanwhile are not refused. */
   @Test
   void loadsUnderWayDoNotLeadToRefusals() {
--- a/src/test/java/umberrun/Scenario.java
+++ b/src/test/java/umberrun/Scenario.java
@@ -144,6 +144,30 @@
     return before;
   }
 
+  /** Starts another front end beside this one, which knows the same workers and learns from these peers. */
+  Server learn(String... peers) throws Exception {
+    Server before = server;
+    JsonObject learning = new JsonObject();
+    learning.addProperty("listen", LOOPBACK + ":0");
+    learning.add("peers", new com.google.gson.Gson().toJsonTree(peers));
+    JsonObject file = new JsonObject();
+    file.add("learning", learning);
+    Map<String, String> other = new HashMap<>(env);
+    other.put("UMBERRUN_OPERATOR", Files.writeString(Files.createTempFile("operator", ".json"), file.toString())
+        .toString());
+    Path main = Path.of(env.get("EDGE_CONFIG"));
+    Files.writeString(main, config(0));
+    server = start(other);
+    return before;
+  }
+
+  /** What this address answers to a GET: its status, its Retry-After and its body. */
+  String get(int port, String path) throws Exception {
+    HttpResponse<String> r = http.send(HttpRequest.newBuilder(URI.create("http://" + LOOPBACK + ":" + port + path))
+        .build(), HttpResponse.BodyHandlers.ofString());
+    return r.statusCode() + " " + r.headers().firstValue("Retry-After").orElse("") + " " + r.body();
+  }
+
   /** Starts the program a second time as a process of its own, with a door at this port, within {@code TMPDIR}. */
   Process succeedAsProcess(Path temporary, int door) throws Exception {
     Files.writeString(Path.of(env.get("EDGE_CONFIG")), config(server.rpcPort()));
--- /dev/null
+++ b/src/test/java/umberrun/learning/Fleet.java
@@ -0,0 +1,195 @@
+package umberrun.learning;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.function.Consumer;
+import saddlestall.Choice;
+import saddlestall.Dispatcher.*;
+
+/**
+ * A small emulator on a virtual clock: instances of the decision module and workers that load functions when they are
+ * asked for, keep them while they are used, and have room for some. One seed, one course of things.
+ */
+final class Fleet {
+  static final long MS = 1_000;
+  static final long SECOND = 1_000_000;
+  private static final int FUNCTIONS = 60;
+  private static final int ROOM = 24;
+  private static final long KEEP = 9 * SECOND;
+  private static final long LOAD = 1_200 * MS;
+  private static final long WORK = 60 * MS;
+  private static final double CALLS_A_SECOND = 60;
+
+  private record Step(long at, long order, Runnable what) { }
+
+  /** A worker: its copies by when each stands, and when each was last used. */
+  private static final class Worker {
+    private final Map<Long, Long> standsAt = new HashMap<>();
+    private final Map<Long, Long> usedAt = new HashMap<>();
+  }
+
+  private final PriorityQueue<Step> steps = new PriorityQueue<>((a, b) -> a.at != b.at ? Long.compare(a.at, b.at)
+      : Long.compare(a.order, b.order));
+  private final Random random;
+  private final Settings settings;
+  private final Worker[] workers;
+  private final Choice[] instances;
+  private final Map<Integer, Long> functionOf = new HashMap<>();
+  private final Map<Integer, Integer> attempts = new HashMap<>();
+  private long order;
+  private int calls;
+  long now = 100 * SECOND;
+  /** Of the calls taken by the instance that is watched: all, and those that met no loaded copy. */
+  int watched = -1;
+  int taken;
+  int metLoad;
+  /** A worker that answers every call with an error, and how many calls of the watched instance met it. */
+  int failing = -1;
+  int metError;
+
+  Fleet(long seed, int instanceCount, int workerCount) {
+    random = new Random(seed);
+    CallClass kind = new CallClass(400 * MS, 0, 4 * SECOND, Effect.SAFE, Group.ALL, 0, 1, 0.2, false);
+    settings = new Settings(0, instanceCount, 0, List.of(kind), List.of(new Tenant(1, 1_000)), 0.1, false, false,
+        WeightKind.SILENT, List.of(), new Limits(true, true, true, false, true, SECOND, 6, 250 * MS),
+        new Rules(16 * MS, 10 * SECOND, SECOND, 17 * SECOND, 0.18, SECOND, 2),
+        new Loads(true, true, 5 * SECOND, 4, 0.15, KEEP, true, true, 0.05),
+        new Report(Via.PROBES, List.of()), new Costs(0.02, 0.02, 0.16, 0.05, 0.027, 0));
+    workers = new Worker[workerCount];
+    for (int i = 0; i < workerCount; i++) {
+      workers[i] = new Worker();
+    }
+    instances = new Choice[instanceCount];
+    for (int i = 0; i < instanceCount; i++) {
+      start(i);
+      arrive(i);
+    }
+  }
+
+  /** An instance starts, or starts anew with nothing but the list of workers. */
+  void start(int instance) {
+    List<Member> members = new ArrayList<>();
+    for (int w = 0; w < workers.length; w++) {
+      members.add(new Member(w * 0x9E3779B1, w % 3, 0, 0, State.READY, 1, 0));
+    }
+    Choice[] self = new Choice[1];
+    Consumer<Action> out = a -> act(instance, self[0], a);
+    List<Action> first = new ArrayList<>();
+    self[0] = new Choice(settings, random.nextLong(), now, first::add);
+    instances[instance] = self[0];
+    first.forEach(out);
+    self[0].handle(now, new Members(ListKind.FULL, members), out);
+  }
+
+  /** One instance learns what another saw, {@code age} ago. */
+  void learn(int instance, int from, long age, Calibration calibration) {
+    Choice module = instances[instance];
+    instances[from].recall(now, k -> {
+      if (k instanceof KnownCopy c) {
+        module.handle(now, new KnownCopy(c.worker(), c.function(), c.age() + age,
+            calibration.weight(Fact.Kind.COPY, c.age() + age)), a -> act(instance, module, a));
+      } else if (k instanceof KnownFunction f) {
+        module.handle(now, new KnownFunction(f.function(), f.callClass(), f.lanes(), f.loadTime(), f.recent(),
+            f.age() + age, calibration.weight(Fact.Kind.FUNCTION, f.age() + age)), a -> act(instance, module, a));
+      } else if (k instanceof KnownWorker w) {
+        module.handle(now, new KnownWorker(w.worker(), w.pace(), w.bad(), age, calibration.weight(Fact.Kind.WORKER, age)),
+            a -> act(instance, module, a));
+      }
+    });
+  }
+
+  private void at(long when, Runnable what) {
+    steps.add(new Step(when, order++, what));
+  }
+
+  void run(long span) {
+    long end = now + span;
+    while (!steps.isEmpty() && steps.peek().at <= end) {
+      Step s = steps.poll();
+      now = s.at;
+      s.what.run();
+    }
+    now = end;
+  }
+
+  private void arrive(int instance) {
+    at(now + (long) (-Math.log(1 - random.nextDouble()) * SECOND / CALLS_A_SECOND * instances.length), () -> {
+      long function = 1 + (long) (FUNCTIONS * random.nextDouble() * random.nextDouble());
+      Choice module = instances[instance];
+      taken += instance == watched ? 1 : 0;
+      functionOf.put(calls, function);
+      module.handle(now, new Call(calls++, 4 * SECOND, 0, function, 4, 512, 0, 0, false, false, LOAD),
+          a -> act(instance, module, a));
+      arrive(instance);
+    });
+  }
+
+  private void act(int instance, Choice module, Action action) {
+    if (module != instances[instance]) { // of a life that is over
+      return;
+    }
+    if (action instanceof Timer t) {
+      at(now + Math.max(1, t.delay()), () -> tell(instance, module, new Due(t.token())));
+    } else if (action instanceof Send s) {
+      run(instance, module, s);
+    } else if (action instanceof Hold h) {
+      long stands = stand(worker(h.worker()), h.function());
+      at(Math.max(now + MS, stands), () -> tell(instance, module, new Loaded(0, 1, h.worker(), Code.OK, h.function())));
+    }
+  }
+
+  private void tell(int instance, Choice module, Event event) {
+    if (module == instances[instance]) {
+      module.handle(now, event, a -> act(instance, module, a));
+    }
+  }
+
+  private Worker worker(int id) {
+    for (int w = 0; w < workers.length; w++) {
+      if (w * 0x9E3779B1 == id) {
+        return workers[w];
+      }
+    }
+    throw new AssertionError("no such worker");
+  }
+
+  private void run(int instance, Choice module, Send s) {
+    Worker w = worker(s.worker());
+    int attempt = attempts.merge(s.call(), 1, Integer::sum) - 1;
+    if (failing >= 0 && w == workers[failing]) {
+      metError += instance == watched ? 1 : 0;
+      at(now + WORK, () -> tell(instance, module, new Outcome(s.call(), attempt, s.worker(), Code.ERROR, WORK, false, Note.NONE,
+          -1, null)));
+      return;
+    }
+    long function = functionOf.get(s.call());
+    boolean stood = stands(w, function);
+    boolean loading = !stood && w.standsAt.getOrDefault(function, 0L) > now;
+    long took = Math.max(0, stand(w, function) - now) + WORK / 2 + (long) (random.nextDouble() * WORK);
+    metLoad += instance == watched && !stood ? 1 : 0;
+    Note note = stood ? Note.WARM : loading ? Note.JOINED_LOAD : Note.BEGAN_LOAD;
+    at(now + took, () -> tell(instance, module, new Outcome(s.call(), attempt, s.worker(), Code.OK, took, true, note, 1, null)));
+  }
+
+  private boolean stands(Worker w, long function) {
+    return w.standsAt.getOrDefault(function, Long.MAX_VALUE) <= now && now - w.usedAt.get(function) < KEEP;
+  }
+
+  /** When the function stands at the worker, which loads it now if it must, in the place of the one idle for longest. */
+  private long stand(Worker w, long function) {
+    w.standsAt.keySet().removeIf(f -> w.standsAt.get(f) <= now && now - w.usedAt.get(f) >= KEEP);
+    if (!w.standsAt.containsKey(function)) {
+      if (w.standsAt.size() >= ROOM) {
+        w.standsAt.remove(w.standsAt.keySet().stream().min((a, b) -> Long.compare(w.usedAt.get(a), w.usedAt.get(b)))
+            .orElseThrow());
+      }
+      w.standsAt.put(function, now + LOAD);
+    }
+    w.usedAt.put(function, Math.max(now, w.standsAt.get(function)));
+    return w.standsAt.get(function);
+  }
+}
