--- a/src/main/java/umberrun/Main.java
+++ b/src/main/java/umberrun/Main.java
@@ -1,6 +1,7 @@
 package umberrun;
 
 import java.util.Arrays;
+import umberrun.cli.Commands;
 import umberrun.config.Config;
 import umberrun.config.Config.BadConfig;
 
@@ -20,8 +21,7 @@
     } else if (Arrays.equals(args, new String[] {"benchlink"})) {
       saddlestall.benchlink.Main.main(args);
     } else {
-      System.err.println("usage: java -jar umberrun.jar serve | benchlink");
-      System.exit(2);
+      System.exit(Commands.run(args));
     }
   }
 }
--- a/src/test/java/umberrun/LearningScenariosTest.java
+++ b/src/test/java/umberrun/LearningScenariosTest.java
@@ -7,6 +7,8 @@
 
 import java.io.IOException;
 import java.io.OutputStream;
+import java.io.PrintWriter;
+import java.io.StringWriter;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
@@ -18,6 +20,8 @@
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import org.junit.Test;
+import picocli.CommandLine;
+import umberrun.cli.Commands;
 import umberrun.config.Config;
 import umberrun.config.Config.BadConfig;
 import umberrun.stats.Counters.Count;
@@ -153,6 +157,24 @@
     }
   }
 
+  /** From a shell: what an instance believes, where from, how old; a wrong address or command is said, not thrown. */
+  @Test
+  public void operatorsSeeWhatAnInstanceBelieves() throws Exception {
+    try (Scenario s = experienced("w1")) {
+      StringWriter out = new StringWriter();
+      assertEquals(0, command(out, "knowledge", peer(s.server), "--worker", "w1"));
+      assertTrue(out.toString(), out.toString().matches("(?s)instance \\S+, up for \\d+ ms, \\d+ facts.*"
+          + "(copy|worker) +w1 .* ms ago, seen by .*"));
+      assertEquals(1, command(out, "knowledge", "127.0.0.1:1"));
+      assertEquals(2, command(out, "no-such-command"));
+      assertEquals(2, command(out));
+    }
+  }
+
+  private static int command(StringWriter out, String... args) {
+    return new CommandLine(new Commands()).setOut(new PrintWriter(out)).setErr(new PrintWriter(out)).execute(args);
+  }
+
   @Test
   public void badSettingsAreRefusedByName() throws Exception {
     for (Map.Entry<String, String> bad : Map.of("{\"peers\":[]}", "learning.listen", "{\"listen\":\"127.0.0.1:1\","
