Learning: ask for what is new after the start, and keep facts that come before the list

Need: a peer may have begun a moment before, and with a list from Consul the facts came first and were dropped. Change: four deltas a second apart from the peer that told most, by a duration; Hearsay keeps facts about unlisted workers, bounded, until the list has news. Two scenarios, each of which causes its case.

--- a/src/main/java/umberrun/core/Hearsay.java
+++ b/src/main/java/umberrun/core/Hearsay.java
@@ -1,8 +1,10 @@
 package umberrun.core;
 
 import java.util.HashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.UUID;
 import java.util.function.IntFunction;
 import saddlestall.Dispatcher.Known;
@@ -23,6 +25,7 @@
 final class Hearsay {
   private static final int MOST_FACTS = 8_192;
   private static final int MOST_UNCHECKED = 4_096;
+  private static final int MOST_EARLY = 2_048;
   private static final long SECOND = 1_000_000;
   /** What is older than this is of no use: functions give way to others every 14 to 25 s. */
   private static final long MOST_AGE = 30 * SECOND;
@@ -38,6 +41,8 @@
   private final Calibration calibration;
   private final Screen screen;
   private final Map<Place, Long> unchecked = new HashMap<>();
+  /** Facts about workers that the own list does not name yet: it may come after them. */
+  private final Set<Fact> early = new LinkedHashSet<>();
 
   Hearsay(Settings settings) {
     long keep = settings.loads().keep() > 0 ? settings.loads().keep() : 10 * SECOND;
@@ -73,6 +78,20 @@
             ((KnownWorker) known).bad(), 0, 0), origin, now);
   }
 
+  /** Keeps a fact whose worker is not known until the list has news. */
+  void keepEarly(Fact fact) {
+    if (early.size() < MOST_EARLY) { // guards the memory against names that nobody will ever list
+      early.add(fact);
+    }
+  }
+
+  /** What waited for the list; it no longer does. */
+  List<Fact> takeEarly() {
+    List<Fact> taken = List.copyOf(early);
+    early.clear();
+    return taken;
+  }
+
   List<Fact> facts() {
     return List.copyOf(knowledge.all());
   }
--- a/src/main/java/umberrun/core/Owner.java
+++ b/src/main/java/umberrun/core/Owner.java
@@ -393,6 +393,7 @@
             e.since()), now, members);
       }
       tell(new Members(kind, members));
+      believe(hearsay.takeEarly());
     });
   }
 
@@ -503,25 +504,31 @@
   /** Takes in what others saw; done, with how many of the facts were of use, once the module was told. */
   public Future<Integer> hear(List<Fact> facts) {
     Promise<Integer> done = Promise.promise();
-    post(() -> {
-      long now = clock.now();
-      int used = 0;
-      for (Fact fact : facts) {
-        Roster.Entry entry = roster.find(fact.subject().worker());
-        Standing s = entry == null ? null : standing(entry);
-        Dispatcher.Known known = hearsay.heard(fact, entry == null ? 0 : entry.id(),
-            s == null ? null : new Screen.Standing(s.state(), s.since()), now);
-        if (known != null) {
-          counters.add(Count.FACTS_USED);
-          tell(known);
-          used++;
-        }
-      }
-      done.complete(used);
-    });
+    post(() -> done.complete(believe(facts)));
     return done.future();
   }
 
+  private int believe(List<Fact> facts) {
+    long now = clock.now();
+    int used = 0;
+    for (Fact fact : facts) {
+      Roster.Entry entry = roster.find(fact.subject().worker());
+      if (entry == null && fact.subject().kind() != Fact.Kind.FUNCTION) {
+        hearsay.keepEarly(fact);
+        continue;
+      }
+      Standing s = entry == null ? null : standing(entry);
+      Dispatcher.Known known = hearsay.heard(fact, entry == null ? 0 : entry.id(),
+          s == null ? null : new Screen.Standing(s.state(), s.since()), now);
+      if (known != null) {
+        counters.add(Count.FACTS_USED);
+        tell(known);
+        used++;
+      }
+    }
+    return used;
+  }
+
   private void restate(Iterable<String> names) {
     List<Member> members = new ArrayList<>();
     for (String name : names) {
--- a/src/main/java/umberrun/learning/Learning.java
+++ b/src/main/java/umberrun/learning/Learning.java
@@ -41,11 +41,15 @@
       long bytesPerSecond) { }
 
   private static final int AT_ONCE = 3;
+  private static final long SNAPSHOT = -1;
   private static final int MOST_PAGES = 16;
   /** One that has run for less has seen little; its facts are taken, but others are asked as well. */
   private static final long SETTLED_MICROS = 5_000_000;
   /** A page may be longer than was asked for by its head and one fact. */
   private static final int HEAD_BYTES = 2_048;
+  /** What is new at the peer is asked for so often, and at so many times: by then this instance has seen for itself. */
+  private static final long DELTA_MILLIS = 1_000;
+  private static final int DELTAS = 4;
 
   private final Vertx vertx;
   private final HttpClient client;
@@ -59,6 +63,9 @@
   private int asking;
   private int used;
   private boolean satisfied;
+  /** The peer that has told most; what is new there is asked for afterwards. */
+  private SocketAddress best;
+  private int bestUsed;
 
   public Learning(Vertx vertx, Owner owner, Clock clock, Counters counters, Settings settings, long seed,
       Consumer<String> log) {
@@ -87,7 +94,7 @@
     }
     return done.future().onComplete(v -> {
       vertx.cancelTimer(timer);
-      client.close();
+      follow(1);
       log.accept("learning: " + used + " facts of use from " + settings.peers().size() + " peers in "
           + (clock.now() - begun) / 1_000 + " ms");
     });
@@ -99,7 +106,13 @@
       return;
     }
     asking++;
-    ask(peer, 0, 0).onComplete(v -> over(), e -> {
+    int before = used;
+    ask(peer, 0, 0, SNAPSHOT).onSuccess(v -> {
+      if (used - before > bestUsed) {
+        best = peer;
+        bestUsed = used - before;
+      }
+    }).onComplete(v -> over(), e -> {
       log.accept("learning: " + peer + " is of no use: " + e.getMessage());
       over();
     });
@@ -113,16 +126,31 @@
     }
   }
 
-  /** Asks for a page, and then for what follows it. */
-  private Future<Void> ask(SocketAddress peer, long from, int pages) {
+  /**
+   * Asks the best peer for what it saw since: it may itself have begun a moment before, and traffic goes on there. A
+   * duration says since when, so that no clock and no memory of us at the peer is needed.
+   */
+  private void follow(int round) {
+    if (best == null || round > DELTAS) {
+      client.close();
+      return;
+    }
+    vertx.setTimer(DELTA_MILLIS, t -> ask(best, 0, 0, DELTA_MILLIS + settings.deadlineMillis())
+        .onFailure(e -> log.accept("learning: " + best + " tells nothing new: " + e.getMessage()))
+        .onComplete(v -> follow(round + 1)));
+  }
+
+  /** Asks for a page of what was seen within so many milliseconds, and then for what follows it. */
+  private Future<Void> ask(SocketAddress peer, long from, int pages, long within) {
     long asked = clock.now();
     counters.add(Count.PAGES_ASKED);
     return client.request(new RequestOptions().setServer(peer).setHost(peer.host()).setPort(peer.port())
-            .setMethod(HttpMethod.GET).setURI("/v1/knowledge?v=" + Page.FORM + "&from=" + from)
+            .setMethod(HttpMethod.GET).setURI("/v1/knowledge?v=" + Page.FORM + "&from=" + from
+                + (within == SNAPSHOT ? "" : "&within_ms=" + within))
             .setTimeout(settings.deadlineMillis()))
         .compose(r -> r.send().compose(this::body))
         .compose(body -> {
-          if (done.future().isComplete()) { // too late: calls have been taken on other beliefs
+          if (within == SNAPSHOT && done.future().isComplete()) { // too late: calls are taken on other beliefs by now
             return Future.succeededFuture();
           }
           Page page;
@@ -136,7 +164,7 @@
             used += n;
             boolean more = page.next() > from && pages + 1 < MOST_PAGES;
             satisfied |= !more && page.uptime() >= SETTLED_MICROS;
-            return more ? ask(peer, page.next(), pages + 1) : Future.succeededFuture();
+            return more ? ask(peer, page.next(), pages + 1, within) : Future.succeededFuture();
           });
         });
   }
--- a/src/test/java/umberrun/LearningScenariosTest.java
+++ b/src/test/java/umberrun/LearningScenariosTest.java
@@ -59,6 +59,36 @@
     }
   }
 
+  /** What the peer sees after the first answer is asked for as well. */
+  @Test
+  public void whatIsNewAtThePeerFollows() throws Exception {
+    try (Scenario s = experienced("w1", "w2")) {
+      Server first = s.server;
+      s.learn(peer(first));
+      long before = s.server.counters().get(Count.FACTS_USED);
+      Server second = s.server;
+      s.server = first;
+      s.play("c9 send 9 date-lookup obj=00000000000000aa\nc9 expect [1,9"); // a function of which nobody knew
+      s.server = second;
+      s.await(Count.FACTS_USED, before);
+    }
+  }
+
+  /** A list that comes after the facts finds them waiting, and still says who may be believed in. */
+  @Test
+  public void factsThatComeBeforeTheListWaitForIt() throws Exception {
+    String page = "{\"v\":1,\"epoch\":\"e\",\"uptime_ms\":99999,\"next\":-1,\"facts\":[[1,\"w8\",\"0\",5,\"o\",1,0,0,0],"
+        + "[1,\"w9\",\"0\",5,\"o\",1,0,0,0]]}";
+    try (ServerSocket p = peer("HTTP/1.1 200 OK|Content-Length: " + page.length() + "||" + page, false,
+        new CountDownLatch(1)); Scenario s = Scenario.of("w1")) {
+      s.learn("127.0.0.1:" + p.getLocalPort());
+      assertEquals(0, s.server.counters().get(Count.FACTS_USED));
+      s.join("w8");
+      s.await(Count.FACTS_USED, 0);
+      assertEquals(1, s.server.counters().get(Count.FACTS_USED));
+    }
+  }
+
   /** Facts older than a drain revive nobody: the own list wins. */
   @Test
   public void aDrainedWorkerIsNotRevivedByHearsay() throws Exception {
