One account of all connections, checked at the start and shared with a successor

Need: counters of connections stood in five places and nobody saw their sum; beside a successor only the platform's clients were halved; too few descriptors were passed over silently. Change: admission.Account holds the shares of clients, invoke API, worker links, door and peers; fronts, door, peers and pool open and close there; a displaced connection returns its place at once. Too few descriptors end the start with one line.

--- a/src/main/java/umberrun/Server.java
+++ b/src/main/java/umberrun/Server.java
@@ -15,6 +15,7 @@
 import java.util.concurrent.TimeUnit;
 import saddlestall.Choice;
 import saddlestall.Dispatcher.CallClass;
+import umberrun.admission.Account;
 import umberrun.config.Config;
 import umberrun.config.Config.BadConfig;
 import umberrun.config.OperatorFile;
@@ -59,6 +60,7 @@
   private ChangeLog changeLog;
   private final Clock clock = new Clock();
   private final Duty duty;
+  private final Account account;
   private final SingleLoop transport = new SingleLoop();
   private final Path shared;
   private Handover handover;
@@ -71,8 +73,9 @@
   private int invokePort;
 
   /** @param shared the folder that processes of this front end share, or null */
-  Server(Config config, Path shared) {
+  Server(Config config, Path shared) throws BadConfig {
     this.config = config;
+    this.account = config.account();
     this.shared = shared;
     this.duty = new Duty(config.settings().classes().stream().mapToLong(CallClass::giveUp).max().orElse(0));
     // One core: one event loop, and next to no threads beside it. Nothing is read from the class path or cached.
@@ -83,7 +86,7 @@
   }
 
   /** Serves until the process is told to end. */
-  static void serve(Config config, Map<String, String> env) {
+  static void serve(Config config, Map<String, String> env) throws BadConfig {
     String temporary = env.getOrDefault("TMPDIR", "");
     Server server = new Server(config, temporary.isEmpty() || config.door() == null ? null
         : Path.of(temporary, "umberrun-" + config.name()));
@@ -134,18 +137,18 @@
   private Future<Void> assemble() {
     owner = new Owner(vertx, context, clock, counters, config.settings(), Server::log,
         actions -> new Choice(config.settings(), config.seed(), clock.now(), actions),
-        o -> new WorkerPool(vertx, clock, counters, config.settings(), config.names(), config.shares().links()));
+        o -> new WorkerPool(vertx, clock, counters, config.settings(), config.names(), account));
     OperatorFile file = config.file();
     if (config.changelog() != null && (file == null || !file.listsWorkers())) {
       changeLog = new ChangeLog(vertx, config.changelog(), owner, config.names(), counters);
       changeLog.known(config.known());
       rolls.add(changeLog);
     }
-    rpc = new RpcFront(vertx, owner, counters, config.names(), duty, clock, config.shares().clients(),
+    rpc = new RpcFront(vertx, owner, counters, config.names(), duty, clock, account,
         config.answerBytes());
     if (file != null && file.invoke() != null) {
       invoke = new InvokeFront(vertx, owner, new Invocations(vertx, clock, owner, counters, file.deferred()),
-          counters, config.names(), duty, clock, config.shares().invoke());
+          counters, config.names(), duty, clock, account);
     }
     if (file != null && file.consul() != null) {
       rolls.add(new Consul(vertx, owner, config.names(), file.consul(), config.name(), file.invoke(), counters));
@@ -181,7 +184,7 @@
       return Future.succeededFuture();
     }
     learned = new Learning(vertx, owner, clock, counters, settings, config.seed(), Server::log).learn();
-    return new PeerServer(vertx, owner, clock, counters, settings).listen(settings.listen()).map(port -> {
+    return new PeerServer(vertx, owner, clock, counters, settings, account).listen(settings.listen()).map(port -> {
       peerPort = port;
       return null;
     });
@@ -191,7 +194,7 @@
     if (config.door() == null) {
       return Future.succeededFuture();
     }
-    return new Door(vertx, new Verbs(), counters, config.shares().door()).listen(config.door()).map(port -> {
+    return new Door(vertx, new Verbs(), counters, account).listen(config.door()).map(port -> {
       doorPort = port;
       return null;
     });
@@ -210,7 +213,7 @@
 
   /** Two processes share the limits of one: each holds half as many connections. */
   private void share(boolean accompanied) {
-    rpc.setMostConnections(config.shares().clients() / (accompanied ? 2 : 1));
+    account.shareAmong(accompanied ? 2 : 1);
   }
 
   /** What operators ask for, carried out here and in the other process where there is one. */
--- /dev/null
+++ b/src/main/java/umberrun/admission/Account.java
@@ -0,0 +1,82 @@
+package umberrun.admission;
+
+import java.util.EnumMap;
+import java.util.Map;
+
+/** Every connection that this process holds, by what it is for, within the descriptors that it may use. Free of I/O. */
+public final class Account {
+  /** What connections are for. */
+  public enum Use { CLIENTS, INVOKE, LINKS, DOOR, PEERS }
+
+  /** Too few descriptors for what is switched on; the message is one plain line. */
+  public static final class TooFew extends Exception {
+    private static final long serialVersionUID = 1;
+
+    TooFew(String message) {
+      super(message);
+    }
+  }
+
+  /** Files, the change log, the loop's own, and connections that are closed but not yet let go of. */
+  private static final int HEADROOM = 40;
+  /** Of the descriptors, what worker links may use, and likewise the invoke API. */
+  private static final int PART = 8;
+  /** Kept for operators, whatever the clients do: callers may hold a connection for seconds without a whole call. */
+  private static final int DOOR = 16;
+  /** Those that ask what this instance knows, and those that it asks. */
+  private static final int PEERS = 12;
+  private static final int LEAST_CLIENTS = 8;
+
+  private final Map<Use, Integer> shares = new EnumMap<>(Use.class);
+  private final Map<Use, Integer> held = new EnumMap<>(Use.class);
+  private int processes = 1;
+
+  /** An account of so many descriptors, of which each thing that is switched on has its share and clients all else. */
+  public Account(int descriptors, boolean invoke, boolean door, boolean peers) throws TooFew {
+    shares.put(Use.LINKS, descriptors / PART);
+    shares.put(Use.INVOKE, invoke ? descriptors / PART : 0);
+    shares.put(Use.DOOR, door ? DOOR : 0);
+    shares.put(Use.PEERS, peers ? PEERS : 0);
+    int others = shares.values().stream().mapToInt(i -> i).sum();
+    int clients = descriptors - HEADROOM - others;
+    if (clients < LEAST_CLIENTS) {
+      throw new TooFew("limits.sockets of " + descriptors + " is too few: " + others + " are kept for workers and what is "
+          + "switched on, " + HEADROOM + " as headroom, and clients need " + LEAST_CLIENTS);
+    }
+    shares.put(Use.CLIENTS, clients);
+    for (Use use : Use.values()) {
+      held.put(use, 0);
+    }
+  }
+
+  /** How many connections may be held for something by now. */
+  public int most(Use use) {
+    return shares.get(use) / (use == Use.DOOR ? 1 : processes); // each process has a door of its own, and both are needed
+  }
+
+  public int held(Use use) {
+    return held.get(use);
+  }
+
+  /** Takes a place; false where none is left. */
+  public boolean open(Use use) {
+    if (held.get(use) >= most(use)) {
+      return false;
+    }
+    held.merge(use, 1, Integer::sum);
+    return true;
+  }
+
+  /** Returns a place. */
+  public void close(Use use) {
+    if (held.merge(use, -1, Integer::sum) < 0) { // guards the limit against a place returned twice
+      held.put(use, 0);
+      throw new IllegalStateException("no connection for " + use + " was held");
+    }
+  }
+
+  /** So many processes of this front end live, and share its limits. What is held beyond a share stays until it closes. */
+  public void shareAmong(int processes) {
+    this.processes = processes;
+  }
+}
--- a/src/main/java/umberrun/config/Config.java
+++ b/src/main/java/umberrun/config/Config.java
@@ -14,6 +14,7 @@
 import java.util.List;
 import java.util.Map;
 import saddlestall.Dispatcher.Settings;
+import umberrun.admission.Account;
 import saddlestall.benchlink.SettingsJson;
 
 /**
@@ -37,9 +38,6 @@
   public record Names(List<String> classes, List<String> tenants, List<String> zones, List<String> kinds,
       long idleCloseMillis, int streamsPerConnection, long orderMillis) { }
 
-  /** How many connections each kind may hold, so that all of them together leave some descriptors over. */
-  public record Shares(int clients, int invoke, int links, int door) { }
-
   /** A configuration that cannot be served; the message is one plain line. */
   public static final class BadConfig extends Exception {
     private static final long serialVersionUID = 1;
@@ -53,13 +51,6 @@
   private static final int DEFAULT_MEMORY_MB = 192;
   /** Of the memory, what answers that clients have not taken yet may hold. */
   private static final int ANSWERS_PART = 12;
-  /** Files, the change log, the loop's own, and connections that are closed but not yet let go of. */
-  private static final int SPARE_SOCKETS = 40;
-  /** Kept for operators, whatever the clients do: callers may hold a connection for seconds without a whole call. */
-  private static final int DOOR_SOCKETS = 16;
-  /** Those that ask what this instance knows, and those that it asks. */
-  private static final int PEER_SOCKETS = 12;
-
   /** Reads the variables and the files that they name. */
   public static Config read(Map<String, String> env) throws BadConfig {
     String path = env.get("EDGE_CONFIG");
@@ -79,27 +70,26 @@
       if (changelog.isEmpty() && (file == null || !file.listsWorkers())) {
         throw new BadConfig("no source of workers: neither changelog nor consul.workers is set");
       }
-      return new Config(name, address(listen, "listen"), seed(text(o, "seed")), (int) positive(object(o, "limits"), "sockets", DEFAULT_SOCKETS),
+      Config config = new Config(name, address(listen, "listen"), seed(text(o, "seed")), (int) positive(object(o, "limits"), "sockets", DEFAULT_SOCKETS),
           (int) positive(object(o, "limits"), "memory_mb", DEFAULT_MEMORY_MB),
           changelog.isEmpty() ? null : address(changelog, "changelog"), object(o, "known"),
           SettingsJson.read(settings.toString()), names, door.isEmpty() ? null : address(door, "operator"), file);
+      config.account();
+      return config;
     } catch (IllegalStateException | NumberFormatException | ClassCastException
         | UnsupportedOperationException e) { // a field of another type than it should have
       throw new BadConfig(path + ": " + e.getMessage());
     }
   }
 
-  /**
-   * An eighth to the workers, another to the invoke API where it is on, a few to the operators' door where there is
-   * one, all else to the platform's clients.
-   */
-  public Shares shares() {
-    int links = sockets / 8;
-    int invoke = file == null || file.invoke() == null ? 0 : sockets / 8;
-    int operators = door == null ? 0 : DOOR_SOCKETS;
-    int peers = file == null || file.learning() == null ? 0 : PEER_SOCKETS;
-    return new Shares(Math.max(1, sockets - links - invoke - operators - peers - SPARE_SOCKETS), invoke, links,
-        operators);
+  /** The account of all connections that the process may hold. */
+  public Account account() throws BadConfig {
+    try {
+      return new Account(sockets, file != null && file.invoke() != null, door != null,
+          file != null && file.learning() != null);
+    } catch (Account.TooFew e) {
+      throw new BadConfig(e.getMessage());
+    }
   }
 
   /** How many bytes of answers may wait for clients that take them slowly, all together. */
--- a/src/main/java/umberrun/front/invoke/InvokeFront.java
+++ b/src/main/java/umberrun/front/invoke/InvokeFront.java
@@ -22,6 +22,8 @@
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import saddlestall.Dispatcher.CallClass;
+import umberrun.admission.Account;
+import umberrun.admission.Account.Use;
 import umberrun.config.Config.Names;
 import umberrun.core.Clock;
 import umberrun.core.Duty;
@@ -53,7 +55,7 @@
   private final Invocations invocations;
   private final Counters counters;
   private final Names names;
-  private final int mostConnections;
+  private final Account account;
   private final SecureRandom random = new SecureRandom();
   /** Connections on which no request has come yet, with the timer of each, the oldest first. */
   private final Map<HttpConnection, Long> silent = new LinkedHashMap<>();
@@ -62,7 +64,7 @@
   private final Clock clock;
 
   public InvokeFront(Vertx vertx, Owner owner, Invocations invocations, Counters counters, Names names, Duty duty,
-      Clock clock, int mostConnections) {
+      Clock clock, Account account) {
     this.vertx = vertx;
     this.duty = duty;
     this.clock = clock;
@@ -70,22 +72,19 @@
     this.invocations = invocations;
     this.counters = counters;
     this.names = names;
-    this.mostConnections = mostConnections;
+    this.account = account;
     this.server = vertx.createHttpServer(new HttpServerOptions().setTcpNoDelay(true).setReuseAddress(true).setReusePort(true)
         .setIdleTimeout(IDLE_SECONDS).setHandle100ContinueAutomatically(true)
         .setHttp2ClearTextEnabled(false));
     server.connectionHandler(c -> {
-      if (all.size() >= mostConnections) { // guards the descriptors that the rest needs
-        if (silent.isEmpty()) {
-          c.close();
-          return;
-        }
-        silent.keySet().iterator().next().close();
+      if (!account.open(Use.INVOKE) && !(makeRoom() && account.open(Use.INVOKE))) { // guards what the rest needs
+        c.close();
+        return;
       }
       all.add(c);
       silent.put(c, vertx.setTimer(WHOLE_MILLIS, t -> c.close())); // guards against clients that say nothing
       c.closeHandler(v -> {
-        all.remove(c);
+        forget(c);
         spoke(c);
       });
     });
@@ -104,6 +103,24 @@
     }
   }
 
+  /** The one that has been silent for longest returns its place at once; the system may take longer to be done with it. */
+  private boolean makeRoom() {
+    if (silent.isEmpty()) {
+      return false;
+    }
+    HttpConnection c = silent.keySet().iterator().next();
+    forget(c);
+    c.close();
+    return true;
+  }
+
+  private void forget(HttpConnection c) {
+    spoke(c);
+    if (all.remove(c)) {
+      account.close(Use.INVOKE);
+    }
+  }
+
   /** Whoever has sent the head of a request is no longer taken for silent. */
   private void spoke(HttpConnection c) {
     Long timer = silent.remove(c);
--- a/src/main/java/umberrun/front/rpc/RpcFront.java
+++ b/src/main/java/umberrun/front/rpc/RpcFront.java
@@ -13,6 +13,8 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Function;
+import umberrun.admission.Account;
+import umberrun.admission.Account.Use;
 import umberrun.config.Config.Names;
 import umberrun.core.Clock;
 import umberrun.core.Duty;
@@ -36,7 +38,7 @@
   private final Names names;
   private final Duty duty;
   private final Clock clock;
-  private int mostConnections;
+  private final Account account;
   private final long mostQueued;
   private long queued;
   private final Set<RpcConnection> all = new LinkedHashSet<>();
@@ -47,7 +49,7 @@
   private Runnable whenEmpty;
 
   public RpcFront(Vertx vertx, Owner owner, Counters counters, Names names, Duty duty, Clock clock,
-      int mostConnections, long mostQueued) {
+      Account account, long mostQueued) {
     this.mostQueued = mostQueued;
     this.vertx = vertx;
     this.duty = duty;
@@ -55,7 +57,7 @@
     this.owner = owner;
     this.counters = counters;
     this.names = names;
-    this.mostConnections = mostConnections;
+    this.account = account;
   }
 
   private NetServer server() {
@@ -79,11 +81,6 @@
         .eventually(server::close);
   }
 
-  /** How many connections may be held from now on; those that are there stay. */
-  public void setMostConnections(int most) {
-    mostConnections = most;
-  }
-
   /** Looks at all connections while clients are let go of; to be called every now and then. */
   public void letGo() {
     List.copyOf(all).forEach(RpcConnection::letGoIfDue);
@@ -128,7 +125,7 @@
   }
 
   private void accept(NetSocket socket) {
-    if (all.size() >= mostConnections && !makeRoom()) { // guards the descriptors that the workers' links need
+    if (!account.open(Use.CLIENTS) && !(makeRoom() && account.open(Use.CLIENTS))) { // guards the descriptors that the workers' links need
       socket.close();
       return;
     }
@@ -164,6 +161,7 @@
 
   void closed(RpcConnection connection) {
     all.remove(connection);
+    account.close(Use.CLIENTS);
     silent.remove(connection);
     idle.remove(connection);
     if (all.isEmpty() && whenEmpty != null) {
--- a/src/main/java/umberrun/learning/PeerServer.java
+++ b/src/main/java/umberrun/learning/PeerServer.java
@@ -9,6 +9,8 @@
 import io.vertx.core.net.SocketAddress;
 import java.util.Comparator;
 import java.util.List;
+import umberrun.admission.Account;
+import umberrun.admission.Account.Use;
 import umberrun.core.Clock;
 import umberrun.core.Owner;
 import umberrun.learning.Learning.Settings;
@@ -20,7 +22,6 @@
  * while this machine is late nobody is answered but with a refusal.
  */
 public final class PeerServer {
-  private static final int MOST_CONNECTIONS = 8;
   private static final int IDLE_SECONDS = 5;
   private static final int MOST_HEAD = 2_048;
   /** The pages of one snapshot are cut from the same list for this long. */
@@ -31,14 +32,15 @@
   private final Clock clock;
   private final Counters counters;
   private final Settings settings;
+  private final Account account;
   private final HttpServer server;
   private final Budget budget;
   private final long startedAt;
   private List<Fact> snapshot = List.of();
   private long snapshotAt = Long.MIN_VALUE / 2;
-  private int connections;
 
-  public PeerServer(Vertx vertx, Owner owner, Clock clock, Counters counters, Settings settings) {
+  public PeerServer(Vertx vertx, Owner owner, Clock clock, Counters counters, Settings settings, Account account) {
+    this.account = account;
     this.owner = owner;
     this.clock = clock;
     this.counters = counters;
@@ -50,12 +52,11 @@
         .setReusePort(true).setHttp2ClearTextEnabled(false).setMaxInitialLineLength(MOST_HEAD)
         .setMaxHeaderSize(MOST_HEAD).setIdleTimeout(IDLE_SECONDS));
     server.connectionHandler(c -> {
-      if (connections >= MOST_CONNECTIONS) { // guards the descriptors: peers can ask somebody else
+      if (!account.open(Use.PEERS)) { // guards the descriptors: peers can ask somebody else
         c.close();
         return;
       }
-      connections++;
-      c.closeHandler(v -> connections--);
+      c.closeHandler(v -> account.close(Use.PEERS));
     });
     server.requestHandler(this::handle);
   }
--- a/src/main/java/umberrun/ops/Door.java
+++ b/src/main/java/umberrun/ops/Door.java
@@ -9,10 +9,14 @@
 import io.vertx.core.http.HttpServerRequest;
 import io.vertx.core.http.HttpServerResponse;
 import io.vertx.core.net.SocketAddress;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.Set;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
+import umberrun.admission.Account;
+import umberrun.admission.Account.Use;
 import umberrun.stats.Counters;
 import umberrun.stats.Counters.Count;
 
@@ -50,16 +54,16 @@
   private final HttpServer server;
   private final Verbs verbs;
   private final Counters counters;
-  private final int mostConnections;
+  private final Account account;
   /** Connections whose call is not whole yet, with the timer of each, the oldest first. */
   private final Map<HttpConnection, Long> silent = new LinkedHashMap<>();
-  private int connections;
+  private final Set<HttpConnection> all = new HashSet<>();
 
-  public Door(Vertx vertx, Verbs verbs, Counters counters, int mostConnections) {
+  public Door(Vertx vertx, Verbs verbs, Counters counters, Account account) {
     this.vertx = vertx;
     this.verbs = verbs;
     this.counters = counters;
-    this.mostConnections = mostConnections;
+    this.account = account;
     this.server = vertx.createHttpServer(new HttpServerOptions().setTcpNoDelay(true).setReuseAddress(true)
         .setHandle100ContinueAutomatically(true).setHttp2ClearTextEnabled(false)
         .setMaxInitialLineLength(MOST_LINE).setMaxHeaderSize(MOST_HEAD));
@@ -74,20 +78,31 @@
 
   /** Guards the door against callers that hold connections without a whole call: newcomers take their places. */
   private void accept(HttpConnection c) {
-    if (connections >= mostConnections) {
-      if (silent.isEmpty()) {
-        c.close();
-        return;
-      }
-      counters.add(Count.DOOR_DISPLACED);
-      silent.keySet().iterator().next().close();
+    if (!account.open(Use.DOOR) && !(makeRoom() && account.open(Use.DOOR))) {
+      c.close();
+      return;
     }
-    connections++;
+    all.add(c);
     silent.put(c, vertx.setTimer(WHOLE_MILLIS, t -> c.close()));
-    c.closeHandler(v -> {
-      connections--;
-      spoke(c);
-    });
+    c.closeHandler(v -> forget(c));
+  }
+
+  private boolean makeRoom() {
+    if (silent.isEmpty()) {
+      return false;
+    }
+    counters.add(Count.DOOR_DISPLACED);
+    HttpConnection c = silent.keySet().iterator().next();
+    forget(c);
+    c.close();
+    return true;
+  }
+
+  private void forget(HttpConnection c) {
+    spoke(c);
+    if (all.remove(c)) {
+      account.close(Use.DOOR);
+    }
   }
 
   private void spoke(HttpConnection c) {
--- a/src/main/java/umberrun/worker/WorkerPool.java
+++ b/src/main/java/umberrun/worker/WorkerPool.java
@@ -11,6 +11,8 @@
 import saddlestall.Dispatcher.Code;
 import saddlestall.Dispatcher.Settings;
 import saddlestall.Dispatcher.State;
+import umberrun.admission.Account;
+import umberrun.admission.Account.Use;
 import umberrun.config.Config.Names;
 import umberrun.core.Attempt;
 import umberrun.core.Clock;
@@ -38,18 +40,17 @@
   private final Counters counters;
   private final Settings settings;
   private final Names names;
-  private final int mostLinks;
+  private final Account account;
   private final Map<Integer, Worker> workers = new HashMap<>();
-  private int links;
   private long tag;
 
-  public WorkerPool(Vertx vertx, Clock clock, Counters counters, Settings settings, Names names, int mostLinks) {
+  public WorkerPool(Vertx vertx, Clock clock, Counters counters, Settings settings, Names names, Account account) {
     this.vertx = vertx;
     this.clock = clock;
     this.counters = counters;
     this.settings = settings;
     this.names = names;
-    this.mostLinks = mostLinks;
+    this.account = account;
     this.client = vertx.createNetClient(new NetClientOptions().setTcpNoDelay(true)
         .setConnectTimeout((int) Math.max(1, settings.limits().connectTimeout() / 1_000)));
   }
@@ -91,7 +92,7 @@
 
     @Override
     public void closed(Link link) {
-      links--;
+      account.close(Use.LINKS);
       open.remove(link);
       forgetIfGone();
     }
@@ -110,7 +111,7 @@
           best = l;
         }
       }
-      if (best == null && open.size() < MOST_LINKS_EACH && links < mostLinks) {
+      if (best == null && open.size() < MOST_LINKS_EACH && account.open(Use.LINKS)) {
         best = connect();
       }
       if (best == null) { // guards the descriptors: no connection, so nothing ran
@@ -123,7 +124,6 @@
     private Link connect() {
       Link link = new Link(vertx, clock, this, (long) (IDLE_PART * names.idleCloseMillis()));
       open.add(link);
-      links++;
       counters.add(Count.WORKER_CONNECTIONS);
       client.connect(endpoint.port(), endpoint.host()).onComplete(link::opened, e -> link.refused());
       return link;
--- /dev/null
+++ b/src/test/java/umberrun/admission/AccountTest.java
@@ -0,0 +1,85 @@
+package umberrun.admission;
+
+import static org.junit.Assert.assertEquals;
+import static org.junit.Assert.assertFalse;
+import static org.junit.Assert.assertThrows;
+import static org.junit.Assert.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import org.junit.Test;
+import umberrun.admission.Account.TooFew;
+import umberrun.admission.Account.Use;
+
+public class AccountTest {
+
+  /** Whatever opens and closes, alone or beside another process, nothing is held beyond the descriptors. */
+  @Test
+  public void theAccountNeverExceedsItsLimit() throws Exception {
+    for (int seed = 0; seed < 300; seed++) {
+      Random r = new Random(seed);
+      int descriptors = 150 + r.nextInt(2_000);
+      Account a = new Account(descriptors, r.nextBoolean(), r.nextBoolean(), r.nextBoolean());
+      List<Use> open = new ArrayList<>();
+      for (int i = 0; i < 3_000; i++) {
+        Use use = Use.values()[r.nextInt(Use.values().length)];
+        int before = a.held(use);
+        if (r.nextInt(3) > 0) {
+          if (a.open(use)) {
+            open.add(use);
+            assertEquals("seed " + seed, before + 1, a.held(use));
+            assertTrue("seed " + seed, a.held(use) <= a.most(use));
+          } else {
+            assertTrue("seed " + seed, before >= a.most(use));
+          }
+        } else if (!open.isEmpty()) {
+          a.close(open.remove(r.nextInt(open.size())));
+        }
+        if (i % 500 == 0) {
+          a.shareAmong(1 + r.nextInt(2));
+        }
+        int held = 0;
+        for (Use u : Use.values()) {
+          held += a.held(u);
+        }
+        assertEquals("seed " + seed, open.size(), held);
+        assertTrue("seed " + seed, held + 40 <= descriptors);
+      }
+    }
+  }
+
+  /** Two processes together stay within one's descriptors, but for the door that each must have. */
+  @Test
+  public void twoProcessesShareAndKeepWhatTheyHold() throws Exception {
+    Account a = new Account(384, true, true, true);
+    while (a.open(Use.CLIENTS)) {
+      continue;
+    }
+    int alone = a.held(Use.CLIENTS);
+    a.shareAmong(2);
+    assertEquals("what is there stays", alone, a.held(Use.CLIENTS));
+    assertFalse(a.open(Use.CLIENTS));
+    assertEquals(alone / 2, a.most(Use.CLIENTS));
+    assertEquals(16, a.most(Use.DOOR));
+    a.shareAmong(1);
+    assertEquals(alone, a.most(Use.CLIENTS));
+  }
+
+  @Test
+  public void tooFewDescriptorsAreSaidAtTheStart() throws Exception {
+    new Account(256, true, true, true);
+    assertTrue(assertThrows(TooFew.class, () -> new Account(54, false, false, false)).getMessage()
+        .startsWith("limits.sockets of 54 is too few"));
+  }
+
+  /** A place that is returned twice would let one more in than there is room for. */
+  @Test
+  public void aPlaceIsReturnedOnce() throws Exception {
+    Account a = new Account(256, false, false, false);
+    a.open(Use.LINKS);
+    a.close(Use.LINKS);
+    assertThrows(IllegalStateException.class, () -> a.close(Use.LINKS));
+    assertEquals(0, a.held(Use.LINKS));
+  }
+}
--- a/src/test/java/umberrun/worker/WorkerPoolTest.java
+++ b/src/test/java/umberrun/worker/WorkerPoolTest.java
@@ -11,6 +11,7 @@
 import org.junit.Test;
 import saddlestall.Dispatcher.State;
 import saddlestall.benchlink.SettingsJson;
+import umberrun.admission.Account;
 import umberrun.config.Config.Names;
 import umberrun.core.Clock;
 import umberrun.core.Endpoint;
@@ -21,10 +22,11 @@
 
   /** On a long day workers come and go by the hundred; most were never called from here. */
   @Test
-  public void aGoneWorkerIsForgottenWithoutAConnection() {
+  public void aGoneWorkerIsForgottenWithoutAConnection() throws Exception {
     Vertx vertx = Vertx.vertx();
     WorkerPool pool = new WorkerPool(vertx, new Clock(), new Counters(), SettingsJson.read("{}"),
-        new Names(List.of("a"), List.of(), List.of(), List.of(), 1_000, 100, 1_000), 256);
+        new Names(List.of("a"), List.of(), List.of(), List.of(), 1_000, 100, 1_000),
+        new Account(256, false, false, false));
     for (int id = 0; id < 10; id++) {
       pool.update(id, endpoint(id, State.READY), 0);
       pool.update(id, endpoint(id, State.GONE), 1);
