--- a/src/test/java/umberrun/admission/AccountTest.java
+++ b/src/test/java/umberrun/admission/AccountTest.java
@@ -69,8 +69,8 @@
   @Test
   public void tooFewDescriptorsAreSaidAtTheStart() throws Exception {
     new Account(256, true, true, true);
-    assertTrue(assertThrows(TooFew.class, () -> new Account(54, false, false, false)).getMessage()
-        .startsWith("limits.sockets of 54 is too few"));
+    assertTrue(assertThrows(TooFew.class, () -> new Account(50, false, false, false)).getMessage()
+        .startsWith("limits.sockets of 50 is too few"));
   }
 
   /** A place that is returned twice would let one more in than there is room for. */
