Links for every worker of a fleet that is being replaced: a third of the descriptors

From 9 s to 19 s a connection was refused by our own account 789 times (WorkerPool.submit: CONNECT_FAILED without a connection), each time blamed on the worker, and links to drained workers stayed until idle for 12 s. No connect failed at a worker: caps there were ruled out.

Change: links may use a third of what the headroom leaves (clients hold a third at most by the protocol), links of workers that drain close as soon as they are idle, the link idle for longest gives way when all places are taken, and having none is 'never sent', not the worker's failure. A one-way command on an open link starts its idle wait again.

--- a/src/main/java/umberrun/admission/Account.java
+++ b/src/main/java/umberrun/admission/Account.java
@@ -19,8 +19,10 @@
 
   /** Files, the change log, the loop's own, and connections that are closed but not yet let go of. */
   private static final int HEADROOM = 40;
-  /** Of the descriptors, what worker links may use, and likewise the invoke API. */
-  private static final int PART = 8;
+  /** Of the descriptors, what the invoke API may use. */
+  private static final int INVOKE_PART = 8;
+  /** Of the descriptors less the headroom, what worker links may use: clients hold a third of all at the most. */
+  private static final int LINKS_PART = 3;
   /** Kept for operators, whatever the clients do: callers may hold a connection for seconds without a whole call. */
   private static final int DOOR = 16;
   /** Those that ask what this instance knows, and those that it asks. */
@@ -33,8 +35,8 @@
 
   /** An account of so many descriptors, of which each thing that is switched on has its share and clients all else. */
   public Account(int descriptors, boolean invoke, boolean door, boolean peers) throws TooFew {
-    shares.put(Use.LINKS, descriptors / PART);
-    shares.put(Use.INVOKE, invoke ? descriptors / PART : 0);
+    shares.put(Use.LINKS, Math.max(0, descriptors - HEADROOM) / LINKS_PART);
+    shares.put(Use.INVOKE, invoke ? descriptors / INVOKE_PART : 0);
     shares.put(Use.DOOR, door ? DOOR : 0);
     shares.put(Use.PEERS, peers ? PEERS : 0);
     int others = shares.values().stream().mapToInt(i -> i).sum();
--- a/src/main/java/umberrun/worker/Link.java
+++ b/src/main/java/umberrun/worker/Link.java
@@ -134,6 +134,16 @@
     return out.size() + waiting.size();
   }
 
+  /** Whether it is up and nothing is out on it. */
+  boolean isIdle() {
+    return socket != null && !closed && load() == 0;
+  }
+
+  /** When the worker was last heard here, or the link came up. */
+  long heardAt() {
+    return heardAt;
+  }
+
   boolean accepts(Exchange x, int most) {
     return !closed && !retired && load() < most && !out.containsKey(x.id) && !stale.contains(x.id)
         && waiting.stream().noneMatch(w -> w.id.equals(x.id));
@@ -145,6 +155,7 @@
     x.timer = vertx.setTimer(Math.max(1, (x.deadline - now + 999) / 1_000), t -> expired(x));
     waiting.add(x);
     flush();
+    watchIdle(); // what has no answer is over by now
   }
 
   /** Gives an exchange up before its time. */
--- a/src/main/java/umberrun/worker/WorkerPool.java
+++ b/src/main/java/umberrun/worker/WorkerPool.java
@@ -5,6 +5,7 @@
 import io.vertx.core.net.NetClient;
 import io.vertx.core.net.NetClientOptions;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -68,7 +69,7 @@
       boolean sooner = stop < stopAt;
       endpoint = e;
       stopAt = stop;
-      if (moved || e.state() == State.GONE) {
+      if (moved || e.state() != State.READY) { // nothing new is sent there, and others need the descriptors
         List.copyOf(open).forEach(Link::retire);
       }
       if (stop <= clock.now()) {
@@ -111,16 +112,25 @@
           best = l;
         }
       }
-      if (best == null && open.size() < MOST_LINKS_EACH && account.open(Use.LINKS)) {
+      if (best == null && open.size() < MOST_LINKS_EACH && takePlace()) {
         best = connect();
       }
-      if (best == null) { // guards the descriptors: no connection, so nothing ran
-        x.lost(Code.CONNECT_FAILED);
+      if (best == null) { // guards the descriptors: nothing ran, and the worker is not to blame
+        x.lost(Code.MOOT);
       } else {
         best.submit(x);
       }
     }
 
+    /** A place for one more link: a free one, or that of the link which has lain idle for longest. */
+    private boolean takePlace() {
+      if (account.held(Use.LINKS) >= account.most(Use.LINKS)) {
+        workers.values().stream().flatMap(w -> w.open.stream()).filter(Link::isIdle)
+            .min(Comparator.comparingLong(Link::heardAt)).ifPresent(Link::close);
+      }
+      return account.open(Use.LINKS);
+    }
+
     private Link connect() {
       Link link = new Link(vertx, clock, this, (long) (IDLE_PART * names.idleCloseMillis()));
       open.add(link);
