Bench a lost hall whole, and order outlasting loads by the calls of all front ends

Ruled out: shedding (the classes were unequal), the limit of own loads (held calls met 40 of 40 workers passed over for outlasting). - 790 connects were refused by 13 workers of the lost hall, 4 from each front end to each worker: each learned of each alone. Change: ORDER_CALLS counts the calls of all front ends (own ones times siblings); a held call is placed when the order is answered; three failing workers of a hall and none well within a second bench the hall until one serves or comes up anew, with one trial a second; a refused connect weighs 0.5.

--- a/src/main/java/saddlestall/Choice.java
+++ b/src/main/java/saddlestall/Choice.java
@@ -62,7 +62,7 @@
   private static final double HOME_FILL = 0.8; // share of its lanes that a home is meant to use
   private static final double HOME_PART = 0.6; // of a worker's mean load, the most of one function for a home
 
-  private static final double ORDER_CALLS = 8; // recent calls that make a load worth an order
+  private static final double ORDER_CALLS = 8; // recent calls of all front ends that are worth an order
   private static final double SLOW_LOAD = 2; // a load over so many times its time shows a crowded store
   private static final double LOADS_EACH = 2; // own loads at once, for a front end's share of the workers
 
@@ -71,6 +71,9 @@
   private static final double BAD_LIMIT = 0.8; // share above that of the better workers that benches it
   private static final double OVERDUE = 3; // an attempt is overdue after so many times its expected time
   private static final double COMMON = 0.75; // more of the workers bad than this: a common cause
+  private static final double DEAD_STEP = 0.5; // the same where no connection came up
+  private static final long HALL_SPAN = SECOND; // over which the workers of a hall are looked at together
+  private static final int HALL_FAILS = 3; // silent or unreachable workers that bench a whole hall
   private static final long FULL_WAIT_MOST = 2 * SECOND;
   private static final double FULL_PRESSURE = 2; // what being turned away counts as, in time over aim
   private static final long TRIAL_WAIT = SECOND;
@@ -147,7 +150,7 @@
     } else if (event instanceof Left e) {
       close(open.get(e.call()));
     } else if (event instanceof Known e) {
-      onKnown(e);
+      believe(e, now);
     } else if (event instanceof Started e && open.get(e.call()) != null) {
       open.get(e.call()).streaming = true;
     }
@@ -249,6 +252,8 @@
       w.copies.values().forEach(c -> c.seenAt = 0);
       w.bad = 0;
       w.benched = false;
+      w.lostAt = 0;
+      hallLost[hall(w)] = false;
       w.coldBudget = random.nextDouble(); // so that small shares sum up rightly over the front ends
     }
     w.told(m, size(m));
@@ -264,38 +269,6 @@
     return rated && m.rating() > 0 ? m.rating() : memory;
   }
 
-  /** Hearsay is a prior belief: it holds where nothing was seen here, and until something is. */
-  private void onKnown(Known known) {
-    if (known instanceof KnownCopy e) {
-      Worker w = workers.get(e.worker());
-      if (w != null && w.state == State.READY && now - e.age() > w.cameUp) {
-        Copy c = w.copies.computeIfAbsent(e.function(), id -> new Copy());
-        if (c.seenAt == 0 && c.inFlight == 0 && c.readyAt == 0) {
-          c.seenAt = now - e.age();
-          c.trust = clamp(e.weight(), 0, 0.99);
-        }
-      }
-    } else if (known instanceof KnownWorker e) {
-      Worker w = workers.get(e.worker());
-      if (w != null && w.state == State.READY && w.pace == 1 && w.bad == 0 && w.out.isEmpty()) {
-        w.pace += e.weight() * (clamp(e.pace(), 0.2, 6) - 1);
-        w.bad = e.weight() * clamp(e.bad(), 0, 1);
-      }
-    } else if (known instanceof KnownFunction e && e.callClass() >= 0
-        && e.callClass() < settings.classes().size()) {
-      Function f = functions.computeIfAbsent(e.function(), Function::new);
-      if (f.lastAt == 0) {
-        f.callClass = e.callClass();
-        f.lanes = clamp(e.lanes(), 1, 64);
-        f.loadTime = Math.max(0, e.loadTime());
-        f.recent = e.weight() * Math.max(0, e.recent());
-        heardOf += f.recent;
-        f.lastAt = now - e.age();
-        f.servedAt = f.lastAt;
-      }
-    }
-  }
-
   private void onLoaded(Loaded e) {
     Worker w = workers.get(e.worker());
     Copy c = w == null ? null : w.copies.get(e.function());
@@ -303,6 +276,7 @@
       c.readyAt = 0;
       c.trust = e.code() == Code.OK && e.copies() > 0 ? 1 : c.trust;
       c.seenAt = e.code() == Code.OK && e.copies() > 0 ? now : c.seenAt;
+      retryHeld();
     }
   }
 
@@ -697,7 +671,8 @@
   private void preload(Function f, Open call) {
     prune(callTimes, now - Math.max(SECOND, settings.loads().window()));
     int homes = homes(f);
-    boolean unserved = shed == 0 && recent(f) >= ORDER_CALLS && now - f.servedAt > keep();
+    boolean inUse = settings.siblings() * recent(f) >= ORDER_CALLS; // one of many front ends sees few
+    boolean unserved = shed == 0 && inUse && now - f.servedAt > keep();
     for (int i = 0; i < ready.length && settings.loads().mayOrder(); i++) {
       Worker w = ready[i];
       Copy copy = w.copies.get(f.id);
@@ -719,6 +694,8 @@
   private void judge(Worker w, Attempt a, Outcome e) {
     Function f = a.call.function;
     if (e.code() == Code.OK) {
+      w.wellAt = now;
+      hallLost[hall(w)] = false;
       meanWork += SLOW_MEAN * (a.unit - meanWork);
       boolean loaded = e.note() == Note.WARM
           || e.note() == Note.NONE && !a.cold && e.took() < a.expected + a.load / 2;
@@ -765,8 +742,10 @@
     f.servedAt = e.code() == Code.OK ? now : f.servedAt;
     if (bad) {
       // What one lost connection takes along counts once.
-      w.bad += a.missed > 0 && !dead || dead && now - w.diedAt < TICK ? 0 : BAD_STEP * (1 - w.bad);
+      w.bad += a.missed > 0 && !dead || dead && now - w.diedAt < TICK ? 0
+          : (e.code() == Code.CONNECT_FAILED ? DEAD_STEP : BAD_STEP) * (1 - w.bad);
       w.diedAt = dead ? now : w.diedAt;
+      w.lostAt = error ? w.lostAt : now;
       if (w.benched) {
         w.trialWait = Math.min(TRIAL_WAIT_MOST, 2 * w.trialWait);
         w.trialAt = now + w.trialWait;
@@ -796,9 +775,11 @@
     }
     Arrays.sort(bads);
     double better = bads.length == 0 ? 0 : bads[bads.length / 4];
+    watchHalls();
     int count = 0;
     for (Worker w : ready) {
-      boolean worse = w.bad - better > (w.benched ? BAD_LIMIT / 2 : BAD_LIMIT);
+      boolean lost = hallLost[hall(w)];
+      boolean worse = lost || w.bad - better > (w.benched ? BAD_LIMIT / 2 : BAD_LIMIT);
       if (worse && !w.benched) {
         w.trialWait = TRIAL_WAIT;
         w.trialAt = now + TRIAL_WAIT;
@@ -811,6 +792,27 @@
     late.forEach(this::hedge);
   }
 
+  /**
+   * A hall whose workers fail one after the other is benched whole, until one serves or comes up anew: each
+   * front end has few calls out, and would learn of each worker alone too late. Covers a hall that is lost or
+   * cut off. It hurts where just those workers fail that were called.
+   */
+  private void watchHalls() {
+    int[] failing = new int[hallLost.length];
+    int[] well = new int[hallLost.length];
+    for (Worker w : ready) {
+      failing[hall(w)] += w.lostAt > w.wellAt && now - w.lostAt < HALL_SPAN ? 1 : 0;
+      well[hall(w)] += w.wellAt >= w.lostAt && now - w.wellAt < HALL_SPAN / 2 ? 1 : 0;
+    }
+    for (int z = 0; z < hallLost.length; z++) {
+      if (!hallLost[z] && failing[z] >= HALL_FAILS && failing[z] > HALL_FAILS * well[z]) {
+        hallLost[z] = true;
+        hallTrialAt[z] = now + TRIAL_WAIT;
+        log("hall " + z + " benched: " + failing[z] + " of its workers fail, " + well[z] + " serve");
+      }
+    }
+  }
+
   /**
    * A call whose only attempt is late gets a second copy where a loaded copy surely stands, if its class
    * allows that, so that a slow or silent worker or a lost answer does not cost it its aim. It hurts where
@@ -870,6 +872,7 @@
       age += Math.max(0, since + (a.cold ? 0 : a.load));
       if (since > (a.missed + 1) * OVERDUE * one * Math.max(1, w.pace)) {
         a.missed++;
+        w.lostAt = now;
         w.bad += BAD_STEP * (1 - w.bad);
       }
       if (now - a.sentAt > Math.max(OVERDUE * one * Math.max(1, w.pace), HEDGE_AIM * a.call.kind.aim())) {
@@ -885,8 +888,11 @@
       return null;
     }
     for (Worker w : ready) {
-      if (w.benched && now >= w.trialAt && permitted(call, w) && !outlasts(call, w)) {
+      int z = hall(w);
+      boolean due = now >= w.trialAt && (!hallLost[z] || now >= hallTrialAt[z]);
+      if (w.benched && due && permitted(call, w) && !outlasts(call, w)) {
         w.trialAt = now + w.trialWait;
+        hallTrialAt[z] = now + TRIAL_WAIT;
         return w;
       }
     }
--- a/src/main/java/saddlestall/Memory.java
+++ b/src/main/java/saddlestall/Memory.java
@@ -1,5 +1,7 @@
 package saddlestall;
 
+import static saddlestall.Maths.clamp;
+
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Iterator;
@@ -19,6 +21,9 @@
 
 /** What one front end remembers: fields, written and read by {@link Choice}, which decides what they mean. */
 abstract class Memory {
+  /** Halls told apart; further ones share a place. */
+  private static final int HALLS = 32;
+
   final Map<Integer, Worker> workers = new LinkedHashMap<>();
   final Map<Long, Function> functions = new LinkedHashMap<>(64, 0.75f, true);
   final Map<Integer, Open> open = new LinkedHashMap<>();
@@ -56,6 +61,9 @@
   /** What is left of the budget for further attempts. */
   double retries;
   boolean commonCause;
+  /** By hall: whether it is lost as a whole, and when one of its workers may be tried again. */
+  final boolean[] hallLost = new boolean[HALLS];
+  final long[] hallTrialAt = new long[HALLS];
   double pressure;
   double pressed;
   double meanAim;
@@ -103,6 +111,11 @@
     }
   }
 
+  /** The place of a worker's hall. */
+  static int hall(Worker w) {
+    return Math.floorMod(w.zone, HALLS);
+  }
+
   /** Forgets the function unused for longest, where that is since before {@code last}. */
   void forget(long last) {
     Iterator<Function> eldest = functions.values().iterator();
@@ -134,6 +147,37 @@
     }
   }
 
+  /** Takes in hearsay, a prior belief: it holds where nothing was seen here, and until something is. */
+  void believe(Known known, long now) {
+    if (known instanceof KnownCopy e) {
+      Worker w = workers.get(e.worker());
+      if (w != null && w.state == State.READY && now - e.age() > w.cameUp) {
+        Copy c = w.copies.computeIfAbsent(e.function(), id -> new Copy());
+        if (c.seenAt == 0 && c.inFlight == 0 && c.readyAt == 0) {
+          c.seenAt = now - e.age();
+          c.trust = clamp(e.weight(), 0, 0.99);
+        }
+      }
+    } else if (known instanceof KnownWorker e) {
+      Worker w = workers.get(e.worker());
+      if (w != null && w.state == State.READY && w.pace == 1 && w.bad == 0 && w.out.isEmpty()) {
+        w.pace += e.weight() * (clamp(e.pace(), 0.2, 6) - 1);
+        w.bad = e.weight() * clamp(e.bad(), 0, 1);
+      }
+    } else if (known instanceof KnownFunction e && e.callClass() >= 0 && e.callClass() < classWork.length) {
+      Function f = functions.computeIfAbsent(e.function(), Function::new);
+      if (f.lastAt == 0) {
+        f.callClass = e.callClass();
+        f.lanes = clamp(e.lanes(), 1, 64);
+        f.loadTime = Math.max(0, e.loadTime());
+        f.recent = e.weight() * Math.max(0, e.recent());
+        heardOf += f.recent;
+        f.lastAt = now - e.age();
+        f.servedAt = f.lastAt;
+      }
+    }
+  }
+
   /** Drops times up to {@code last}. */
   static void prune(ArrayDeque<Long> times, long last) {
     while (!times.isEmpty() && times.peek() <= last) {
@@ -212,6 +256,9 @@
     double bad;
     /** When a connection to it was last lost or refused. */
     long diedAt = Long.MIN_VALUE / 2;
+    /** When it last served, and when it last was silent or unreachable. */
+    long wellAt;
+    long lostAt;
     double plan;
     boolean benched;
     /** By tenant and class, turned a call away: passed over until then, and how long the wait was. */
--- a/src/test/java/saddlestall/ChoiceTest.java
+++ b/src/test/java/saddlestall/ChoiceTest.java
@@ -576,6 +576,21 @@
     assertEquals(order.worker(), b.sends(3).get(0).worker());
   }
 
+  /** One of many front ends sees few of a function's calls: two of its own stand for many, and wait for the order alone. */
+  @Test
+  void amongManyFrontEndsFewOwnCallsMakeALoadWorthAnOrder() {
+    Settings s = Bench.settings(true, Group.ALL);
+    Bench b = new Bench(new Settings(0, 14, 0, s.classes(), s.tenants(), s.overShareWorth(), false, false,
+        s.weightKind(), s.kindMemoryMb(), s.limits(), s.rules(), s.loads(), s.report(), s.costs()), 7).list(4);
+    for (int id = 1; id <= 2; id++) {
+      b.event(new Call(id, 400 * MS, 0, 9, 2, 300, UNSAFE, 0, false, false, 900 * MS)).at(20);
+    }
+    Hold order = b.all(Hold.class).get(0);
+    assertTrue(b.sends(2).isEmpty());
+    b.event(new Loaded(20 * MS, 1, order.worker(), Code.OK, 9)); // another front end's calls have loaded it
+    assertEquals(order.worker(), b.sends(2).get(0).worker());
+  }
+
   /** Bad clients: a function that nobody ever served is not tried at every worker there is. */
   @Test
   void nonsenseIsTriedTwice() {
@@ -591,4 +606,48 @@
     assertEquals(2, b.sends(50).size());
     assertTrue(b.refused(50));
   }
+
+  /** One front end among many has few calls out: it must not learn of each lost worker of a lost hall alone. */
+  @Test
+  void aHallWhoseWorkersFailOneAfterTheOtherIsPassedOverWhole() {
+    Bench b = bench().list(45);
+    int lost = 0;
+    for (int id = 1; id <= 90; id++) {
+      b.call(id, SAFE, id);
+      for (int i = 0; i < b.sends(id).size(); i++) {
+        boolean fails = b.sends(id).get(i).worker() % 3 == 1;
+        lost += fails ? 1 : 0;
+        b.outcome(b.sends(id).get(i), i, fails ? Code.CONNECT_FAILED : Code.OK, 10);
+      }
+      b.pass(50);
+    }
+    assertTrue(lost <= 12, lost + " sends to a hall of 15 workers that is lost");
+
+    b.pass(1_000).call(100, SAFE, 100);
+    assertEquals(1, b.lastSend().worker() % 3, "a trial");
+    b.outcome(b.lastSend(), 0, Code.OK, 10).pass(50);
+    int back = 0;
+    for (int id = 101; id <= 160; id++) {
+      b.call(id, SAFE, id).outcome(b.lastSend(), 0, Code.OK, 10).pass(50);
+      back += b.lastSend().worker() % 3 == 1 ? 1 : 0;
+    }
+    assertTrue(back > 5, "only " + back + " sends of 60 to a hall that is back");
+  }
+
+  /** One bad worker in a hall says nothing of the others there. */
+  @Test
+  void aHallWithOneFailingWorkerIsUsed() {
+    Bench b = bench().list(30);
+    int hall = 0;
+    for (int id = 1; id <= 200; id++) {
+      b.call(id, SAFE, id % 20);
+      for (int i = 0; i < b.sends(id).size(); i++) {
+        int worker = b.sends(id).get(i).worker();
+        b.outcome(b.sends(id).get(i), i, worker == 1 || worker == 4 ? Code.CONNECT_FAILED : Code.OK, 10);
+        hall += worker % 3 == 1 && worker > 4 ? 1 : 0;
+      }
+      b.pass(50);
+    }
+    assertTrue(hall > 20, "only " + hall + " sends to the well workers of the hall");
+  }
 }
