Mend the ration of loads: orders count as they arrive; few orders, long paces, full workers

Lines at fault: Choice.mayOrder. Now orders given within a connect before the window count too, and a silent worker gets none (RulesTest and ChoiceTest fail without).

Ruled out: weights that drift (traced: within 5% of their start), connection caps at workers (no connect failed but in the lost hall), a crowded store (load factor 0.9 to 1.1).

--- a/src/main/java/saddlestall/Choice.java
+++ b/src/main/java/saddlestall/Choice.java
@@ -54,6 +54,7 @@
   private static final double MIX_PRIOR = 20; // calls of functions not seen that the mix starts from
   private static final double QUOTA_USED = 0.7; // share of all tenants' quotas that is usually asked for
   private static final double QUOTA_CALLS = 20; // own calls that weigh as much as that
+  private static final double PACE_CALLS = 20; // own calls in whose time a pace is forgotten
   private static final double PACE_SCALE = 1.4; // log of the slowness, against the mean, that counts in full
   private static final double RUMOUR = 0.8; // most belief in a copy that was not seen
   private static final double SURE = 0.97; // belief in a copy seen within the time that idle copies stay
@@ -63,6 +64,7 @@
   private static final double HOME_PART = 0.6; // of a worker's mean load, the most of one function for a home
 
   private static final double ORDER_CALLS = 8; // recent calls of all front ends that are worth an order
+  private static final double ORDERS_EACH = 2; // by all front ends, where each has a call
   private static final double SLOW_LOAD = 2; // a load over so many times its time shows a crowded store
   private static final double LOADS_EACH = 2; // own loads at once, for a front end's share of the workers
 
@@ -256,17 +258,7 @@
       hallLost[hall(w)] = false;
       w.coldBudget = random.nextDouble(); // so that small shares sum up rightly over the front ends
     }
-    w.told(m, size(m));
-  }
-
-  private double size(Member m) {
-    double memory = 1;
-    List<Double> kinds = settings.kindMemoryMb();
-    if (m.kind() < kinds.size() && kinds.get(m.kind()) > 0) {
-      memory = kinds.get(m.kind()) / kinds.stream().mapToDouble(x -> x).average().orElse(1);
-    }
-    boolean rated = settings.weightKind() == WeightKind.NOMINAL || settings.weightKind() == WeightKind.ROUGH;
-    return rated && m.rating() > 0 ? m.rating() : memory;
+    w.told(m, settings.size(m));
   }
 
   private void onLoaded(Loaded e) {
@@ -368,7 +360,7 @@
       meanPlan += p.plan / p.size / ready.length;
     }
     for (Worker w : ready) {
-      boolean passed = now < w.fullUntil[cell(call)]
+      boolean passed = now < Math.max(w.fullUntil[cell(call)], w.allFullUntil)
           || !second && (w.benched && !commonCause || call.tried.contains(w));
       if (!passed && permitted(call, w) && !outlasts(call, w) && !storeBusy(call, w)) {
         field[n++] = w;
@@ -396,7 +388,8 @@
     while (pick < n - 1 && (at -= chance[pick]) >= 0) {
       pick++;
     }
-    noteDraw(call, n, pick, sum);
+    call.gradient = surprise(rows, chance, n, pick, sum);
+    call.mean = mean(rows, n);
     return field[pick];
   }
 
@@ -552,7 +545,7 @@
   }
 
   private boolean cold(Worker w) {
-    return w.cameUp > 0 && now - w.cameUp < settings.rules().cold() && settings.rules().fallMultiple() > 0;
+    return settings.rules().isCold(now, w.cameUp);
   }
 
   private boolean repeatable(Open call, Worker w) {
@@ -581,8 +574,7 @@
       warm += cold(p) ? 0 : p.size;
     }
     double perSecond = served / RATE_SPAN / Math.max(1, warm) * w.size;
-    double grown = r.coldFrom() + (1 - r.coldFrom()) * clamp((now - w.cameUp) / (double) r.cold(), 0, 1);
-    double rate = COLD_MARGIN * r.fallMultiple() * grown * perSecond;
+    double rate = COLD_MARGIN * r.fallMultiple() * r.grown(now, w.cameUp) * perSecond;
     w.coldBudget = Math.min(Math.max(1, rate * r.fall() / SECOND / 4), w.coldBudget + rate * TICK / SECOND);
   }
 
@@ -619,8 +611,8 @@
     boolean known = last != Code.ERROR || call.function.servedAt > 0 || call.sent < 2;
     boolean time = known && call.deadline - now > unit(call) && call.sent < settings.limits().maxAttempts();
     if (allowed && time && retries >= 1) {
-      // One that never arrived has cost the workers nothing.
-      retries -= last == Code.CONNECT_FAILED ? 0.25 : 1;
+      // One that never ran has cost the workers next to nothing; many of them do under pressure.
+      retries -= last == Code.CONNECT_FAILED || last.notRun && shed == 0 ? 0.25 : 1;
       place(call);
     } else {
       finish(call);
@@ -655,12 +647,16 @@
 
   // ---------------------------------------------------------------- orders to load
 
-  /** The one gate of orders to load: rules 3 (drains) and 5 (rationed loads). */
+  /**
+   * The one gate of orders to load: rules 3 (drains) and 5 (rationed loads). An order counts as it arrives,
+   * and may wait for a connection first: what was given that much before the window may fall into it as well.
+   * What is given to a worker that is silent may arrive seconds later, once it is heard again.
+   */
   private boolean mayOrder(Worker w) {
     Loads l = settings.loads();
     prune(callTimes, now - l.window());
-    prune(orderTimes, now - l.window() - 1);
-    return l.mayOrder() && w.state == State.READY && !w.benched
+    prune(orderTimes, now - l.window() - settings.limits().connectTimeout() - TICK);
+    return l.mayOrder() && w.state == State.READY && !w.benched && w.lostAt <= w.wellAt
         && (l.window() <= 0 || orderTimes.size() + 1 <= l.free() + l.perCall() * callTimes.size());
   }
 
@@ -673,11 +669,13 @@
     int homes = homes(f);
     boolean inUse = settings.siblings() * recent(f) >= ORDER_CALLS; // one of many front ends sees few
     boolean unserved = shed == 0 && inUse && now - f.servedAt > keep();
+    // All front ends want the same further homes: most orders would find a copy that another had loaded.
+    boolean turn = homes > 1 && random.nextDouble() * settings.siblings() < ORDERS_EACH;
     for (int i = 0; i < ready.length && settings.loads().mayOrder(); i++) {
       Worker w = ready[i];
       Copy copy = w.copies.get(f.id);
       boolean hopeless = unserved && held.contains(call) && outlasts(call, w);
-      boolean wanted = rank(f, w) < homes && (homes > 1 || hopeless || !settings.loads().loadsOnMiss());
+      boolean wanted = rank(f, w) < homes && (turn || hopeless || !settings.loads().loadsOnMiss());
       boolean absent = copy == null || copy.readyAt == 0 && now - copy.seenAt > keep();
       if (wanted && absent && mayOrder(w)) {
         orderTimes.add(now);
@@ -695,6 +693,7 @@
     Function f = a.call.function;
     if (e.code() == Code.OK) {
       w.wellAt = now;
+      w.fullCell = a.sentAt > w.fullAt ? -1 : w.fullCell;
       hallLost[hall(w)] = false;
       meanWork += SLOW_MEAN * (a.unit - meanWork);
       boolean loaded = e.note() == Note.WARM
@@ -762,12 +761,13 @@
    */
   private void watchHealth() {
     double[] bads = new double[ready.length];
+    double paceSpan = clamp(PACE_CALLS * ready.length * mixSpan / Math.max(1, taken), RATE_SPAN, MIX_SPAN);
     List<Attempt> late = new ArrayList<>();
     loadsOut = 0;
     for (int i = 0; i < ready.length; i++) {
       Worker w = ready[i];
       bads[i] = w.bad;
-      w.pace += (1 - w.pace) * TICK / (mixSpan * SECOND);
+      w.pace += (1 - w.pace) * TICK / (paceSpan * SECOND);
       watchOut(w, late);
       if (cold(w)) {
         fillColdBudget(w);
@@ -793,9 +793,8 @@
   }
 
   /**
-   * A hall whose workers fail one after the other is benched whole, until one serves or comes up anew: each
-   * front end has few calls out, and would learn of each worker alone too late. Covers a hall that is lost or
-   * cut off. It hurts where just those workers fail that were called.
+   * A hall whose workers fail one after another is benched whole until one serves or comes up anew, since a
+   * front end with few calls learns of each worker alone too late. It hurts where just those called fail.
    */
   private void watchHalls() {
     int[] failing = new int[hallLost.length];
@@ -844,8 +843,8 @@
 
   /**
    * A full worker answers at once and has few calls of ours, so it would attract more of them. It is passed
-   * over for the tenant and class that it turned away, for a wait that grows while it goes on; covers any
-   * quick rejection, also of one tenant alone. It hurts where one function alone is full.
+   * over for the tenant and class that it turned away, or for all once there were two such, for a wait that
+   * grows while it goes on. It hurts where one function alone is full.
    */
   private void turnedAwayBy(Worker w, Attempt a) {
     int cell = cell(a.call);
@@ -853,6 +852,13 @@
       w.fullWait[cell] = Math.min(FULL_WAIT_MOST, Math.max(2 * w.fullWait[cell], (long) (a.unit / 4)));
       w.fullUntil[cell] = now + w.fullWait[cell];
     }
+    w.allFullWait = w.fullCell < 0 ? 0 : w.allFullWait;
+    if (shed == 0 && w.fullCell >= 0 && w.fullCell != cell) { // not one tenant's or class's calls alone
+      w.allFullWait = Math.min(FULL_WAIT_MOST, Math.max(2 * w.allFullWait, (long) (a.unit / 4)));
+      w.allFullUntil = now + w.allFullWait;
+    }
+    w.fullCell = cell;
+    w.fullAt = now;
     press(FULL_PRESSURE);
   }
 
@@ -955,20 +961,6 @@
 
   // ---------------------------------------------------------------- learning
 
-  /** Keeps of a draw what learning needs: chosen features less expected ones, and the mean over workers. */
-  private void noteDraw(Open call, int n, int pick, double sum) {
-    double[] gradient = rows[pick].clone();
-    double[] mean = new double[FEATURES];
-    for (int i = 0; i < n; i++) {
-      for (int k = 0; k < FEATURES; k++) {
-        gradient[k] -= chance[i] / sum * rows[i][k];
-        mean[k] += rows[i][k] / n;
-      }
-    }
-    call.gradient = gradient;
-    call.mean = mean;
-  }
-
   /** Payoff: minus the time in flight in parts of the time allowed; a failure costs all of it. */
   private void learn(Attempt a, Outcome e, boolean bad) {
     if (a.gradient != null && (e.code() == Code.OK || bad)) {
--- a/src/main/java/saddlestall/Dispatcher.java
+++ b/src/main/java/saddlestall/Dispatcher.java
@@ -24,7 +24,18 @@
   /** What one front end is told at its start. Places, classes and tenants are known by position only. */
   record Settings(int index, int siblings, int zone, List<CallClass> classes, List<Tenant> tenants,
       double overShareWorth, boolean worthByWork, boolean listOnRequest, WeightKind weightKind,
-      List<Double> kindMemoryMb, Limits limits, Rules rules, Loads loads, Report report, Costs costs) { }
+      List<Double> kindMemoryMb, Limits limits, Rules rules, Loads loads, Report report, Costs costs) {
+
+    /** A worker's size against the others', as its rating or else its kind's memory tells it; 1 where neither does. */
+    double size(Member m) {
+      double memory = 1;
+      if (m.kind() < kindMemoryMb.size() && kindMemoryMb.get(m.kind()) > 0) {
+        memory = kindMemoryMb.get(m.kind()) / kindMemoryMb.stream().mapToDouble(x -> x).average().orElse(1);
+      }
+      boolean rated = weightKind == WeightKind.NOMINAL || weightKind == WeightKind.ROUGH;
+      return rated && m.rating() > 0 ? m.rating() : memory;
+    }
+  }
 
   /** One class of calls. {@code group} and {@code dedupWindow} matter for keyed classes only. */
   record CallClass(long aim, double aimStretch, long giveUp, Effect effect, Group group, long dedupWindow,
@@ -39,7 +50,18 @@
 
   /** Figures of the rules; {@code coldFrom} is the share of its capacity that a cold worker starts with. */
   record Rules(long answerSlack, long askEvery, long drainGrace, long cold, double coldFrom, long fall,
-      double fallMultiple) { }
+      double fallMultiple) {
+
+    /** Whether a worker that came up then may still fall over. */
+    boolean isCold(long now, long cameUp) {
+      return cameUp > 0 && now - cameUp < cold && fallMultiple > 0;
+    }
+
+    /** The part of its capacity that it has by now, at the least. */
+    double grown(long now, long cameUp) {
+      return isCold(now, cameUp) ? coldFrom + (1 - coldFrom) * Math.max(0, (now - cameUp) / (double) cold) : 1;
+    }
+  }
 
   /** Loading of functions. {@code window} 0: orders to load are not rationed. */
   record Loads(boolean loadsOnMiss, boolean mayOrder, long window, double free, double perCall, long keep,
--- a/src/main/java/saddlestall/Maths.java
+++ b/src/main/java/saddlestall/Maths.java
@@ -36,6 +36,28 @@
     return sum;
   }
 
+  /** The row that was drawn less the one to be expected by the chances, whose sum is given. */
+  static double[] surprise(double[][] rows, double[] chance, int n, int pick, double sum) {
+    double[] row = rows[pick].clone();
+    for (int i = 0; i < n; i++) {
+      for (int k = 0; k < row.length; k++) {
+        row[k] -= chance[i] / sum * rows[i][k];
+      }
+    }
+    return row;
+  }
+
+  /** The mean of the first {@code n} rows. */
+  static double[] mean(double[][] rows, int n) {
+    double[] mean = new double[rows[0].length];
+    for (int i = 0; i < n; i++) {
+      for (int k = 0; k < mean.length; k++) {
+        mean[k] += rows[i][k] / n;
+      }
+    }
+    return mean;
+  }
+
   /** The place of each of {@code n} things in the ascending order of their keys. */
   static int[] rank(int n, IntToDoubleFunction key) {
     double[] keys = IntStream.range(0, n).mapToDouble(key).toArray();
