Earn orders by first tries alone, and take back what cost more than it gave

Ruled out: the account itself (exact where traced), lateness of the loop (99% of first attempts within 131 ms). Line at fault: Choice.onCall counted all.

--- a/src/main/java/saddlestall/Choice.java
+++ b/src/main/java/saddlestall/Choice.java
@@ -64,7 +64,7 @@
   private static final double HOME_PART = 0.6; // of a worker's mean load, the most of one function for a home
 
   private static final double ORDER_CALLS = 8; // recent calls of all front ends that are worth an order
-  private static final double ORDERS_EACH = 2; // by all front ends, where each has a call
+  private static final double ORDERS_EACH = 4; // by all front ends, where each has a call
   private static final double SLOW_LOAD = 2; // a load over so many times its time shows a crowded store
   private static final double LOADS_EACH = 2; // own loads at once, for a front end's share of the workers
 
@@ -172,12 +172,14 @@
     f.loadTime = e.loadTime();
     f.callClass = e.callClass();
     open.put(e.id(), call);
-    callTimes.add(now);
     retries = Math.min(RETRY_BURST, retries + RETRY_SHARE);
     act(new Timer(Math.max(1, call.deadline - now), e.id() & 0xffffffffL));
     if (turnedAway(call)) {
       refuse(call);
     } else {
+      if (!e.repeat()) { // guards rule 5: what was refused and tried again may not count there
+        callTimes.add(now);
+      }
       place(call);
       preload(f, call);
     }
@@ -360,7 +362,7 @@
       meanPlan += p.plan / p.size / ready.length;
     }
     for (Worker w : ready) {
-      boolean passed = now < Math.max(w.fullUntil[cell(call)], w.allFullUntil)
+      boolean passed = now < w.fullUntil[cell(call)]
           || !second && (w.benched && !commonCause || call.tried.contains(w));
       if (!passed && permitted(call, w) && !outlasts(call, w) && !storeBusy(call, w)) {
         field[n++] = w;
@@ -611,8 +613,8 @@
     boolean known = last != Code.ERROR || call.function.servedAt > 0 || call.sent < 2;
     boolean time = known && call.deadline - now > unit(call) && call.sent < settings.limits().maxAttempts();
     if (allowed && time && retries >= 1) {
-      // One that never ran has cost the workers next to nothing; many of them do under pressure.
-      retries -= last == Code.CONNECT_FAILED || last.notRun && shed == 0 ? 0.25 : 1;
+      // One that never arrived has cost the workers nothing.
+      retries -= last == Code.CONNECT_FAILED ? 0.25 : 1;
       place(call);
     } else {
       finish(call);
@@ -693,7 +695,6 @@
     Function f = a.call.function;
     if (e.code() == Code.OK) {
       w.wellAt = now;
-      w.fullCell = a.sentAt > w.fullAt ? -1 : w.fullCell;
       hallLost[hall(w)] = false;
       meanWork += SLOW_MEAN * (a.unit - meanWork);
       boolean loaded = e.note() == Note.WARM
@@ -843,8 +844,8 @@
 
   /**
    * A full worker answers at once and has few calls of ours, so it would attract more of them. It is passed
-   * over for the tenant and class that it turned away, or for all once there were two such, for a wait that
-   * grows while it goes on. It hurts where one function alone is full.
+   * over for the tenant and class that it turned away, for a wait that grows while it goes on; covers any
+   * quick rejection, also of one tenant alone. It hurts where one function alone is full.
    */
   private void turnedAwayBy(Worker w, Attempt a) {
     int cell = cell(a.call);
@@ -852,13 +853,6 @@
       w.fullWait[cell] = Math.min(FULL_WAIT_MOST, Math.max(2 * w.fullWait[cell], (long) (a.unit / 4)));
       w.fullUntil[cell] = now + w.fullWait[cell];
     }
-    w.allFullWait = w.fullCell < 0 ? 0 : w.allFullWait;
-    if (shed == 0 && w.fullCell >= 0 && w.fullCell != cell) { // not one tenant's or class's calls alone
-      w.allFullWait = Math.min(FULL_WAIT_MOST, Math.max(2 * w.allFullWait, (long) (a.unit / 4)));
-      w.allFullUntil = now + w.allFullWait;
-    }
-    w.fullCell = cell;
-    w.fullAt = now;
     press(FULL_PRESSURE);
   }
 
--- a/src/main/java/saddlestall/Memory.java
+++ b/src/main/java/saddlestall/Memory.java
@@ -264,11 +264,6 @@
     /** By tenant and class, turned a call away: passed over until then, and how long the wait was. */
     final long[] fullUntil;
     final long[] fullWait;
-    /** The same whoever calls; the pair turned away last, or -1 where a later call was served, and when that was. */
-    long allFullUntil;
-    long allFullWait;
-    int fullCell = -1;
-    long fullAt;
     long trialAt;
     long trialWait;
     double coldBudget;
