--- a/src/test/java/umberrun/admission/AccountTest.java
+++ b/src/test/java/umberrun/admission/AccountTest.java
@@ -49,6 +49,16 @@
     }
   }
 
+  /** On the platform clients hold a third of the limit; the rest is for a fleet that has its old and new workers at once. */
+  @Test
+  public void clientsKeepTheirThirdAndLinksAQuarter() throws Exception {
+    for (int descriptors = 256; descriptors <= 4_096; descriptors += 16) {
+      Account a = new Account(descriptors, false, false, false);
+      assertTrue("clients of " + descriptors, a.most(Use.CLIENTS) >= descriptors / 3);
+      assertTrue("links of " + descriptors, a.most(Use.LINKS) > descriptors / 4);
+    }
+  }
+
   /** Two processes together stay within one's descriptors, but for the door that each must have. */
   @Test
   public void twoProcessesShareAndKeepWhatTheyHold() throws Exception {
