The fleet's view as a state machine, a virtual network, and seeds that find it wrong

Need: the core of the view of the fleet, tried before anything listens. Claims in a total order, lives, probes with local health, suspicion, full exchanges, shares. Learning's sockets are in a sub-package now, its token bucket in admission.

--- a/src/main/java/umberrun/Server.java
+++ b/src/main/java/umberrun/Server.java
@@ -26,8 +26,8 @@
 import umberrun.front.invoke.InvokeFront;
 import umberrun.front.rpc.RpcFront;
 import umberrun.handover.Handover;
-import umberrun.learning.Learning;
-import umberrun.learning.PeerServer;
+import umberrun.learning.net.Learning;
+import umberrun.learning.net.PeerServer;
 import umberrun.ops.Door;
 import umberrun.roll.ChangeLog;
 import umberrun.roll.Consul;
@@ -183,7 +183,7 @@
     if (settings == null) {
       return Future.succeededFuture();
     }
-    learned = new Learning(vertx, owner, clock, counters, settings, config.seed(), Server::log).learn();
+    learned = new Learning(vertx, owner, clock, counters, settings, config.seed(), null, Server::log).learn();
     return new PeerServer(vertx, owner, clock, counters, settings, account).listen(settings.listen()).map(port -> {
       peerPort = port;
       return null;
--- a/src/main/java/umberrun/learning/Budget.java
+++ b/src/main/java/umberrun/admission/Budget.java
@@ -1,7 +1,7 @@
-package umberrun.learning;
+package umberrun.admission;
 
 /** A token bucket of bytes: what answering others may cost. Free of I/O; times in microseconds. */
-final class Budget {
+public final class Budget {
   private static final double SECOND = 1_000_000;
 
   private final double perSecond;
@@ -9,7 +9,7 @@
   private double left;
   private long at;
 
-  Budget(double perSecond, double most, long now) {
+  public Budget(double perSecond, double most, long now) {
     this.perSecond = perSecond;
     this.most = most;
     this.left = most;
@@ -17,7 +17,7 @@
   }
 
   /** Takes so many bytes if they are there; else nothing, and how many microseconds it is until they are. */
-  long take(double bytes, long now) {
+  public long take(double bytes, long now) {
     left = Math.min(most, left + perSecond * (now - at) / SECOND);
     at = now;
     double wanted = Math.min(bytes, most);
--- a/src/main/java/umberrun/config/OperatorFile.java
+++ b/src/main/java/umberrun/config/OperatorFile.java
@@ -7,7 +7,7 @@
 import java.util.List;
 import umberrun.config.Config.BadConfig;
 import umberrun.core.Invocations.Bounds;
-import umberrun.learning.Learning;
+import umberrun.learning.net.Learning;
 
 /** The operator's own file: whether and where the invoke API listens, which Consul it works with, whom to learn from. */
 public record OperatorFile(SocketAddress invoke, Bounds deferred, Consul consul, Learning.Settings learning) {
--- a/src/main/java/umberrun/core/Owner.java
+++ b/src/main/java/umberrun/core/Owner.java
@@ -131,6 +131,11 @@
     return lag.lag() <= MOST_LAG;
   }
 
+  /** How late this machine is, in microseconds. */
+  public long lag() {
+    return lag.lag();
+  }
+
   // ---------------------------------------------------------------- the queue
 
   /** Queues a step; callable on the context's thread only, as all sockets live there. */
--- /dev/null
+++ b/src/main/java/umberrun/fleet/net/Codec.java
@@ -0,0 +1,216 @@
+package umberrun.fleet.net;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessagePack;
+import org.msgpack.core.MessagePackException;
+import org.msgpack.core.MessageUnpacker;
+import umberrun.fleet.About;
+import umberrun.fleet.Claim;
+import umberrun.fleet.Life;
+import umberrun.fleet.Message;
+
+/**
+ * The bytes of datagrams and frames: arrays of MessagePack, to which later versions add at the end. What is beyond the fields
+ * known here is passed over.
+ */
+public final class Codec {
+  /** Bytes that can't be used; the message says why. */
+  public static final class Unusable extends Exception {
+    private static final long serialVersionUID = 1;
+    /** Whether they are of another fleet or version, and not wrong. */
+    public final boolean foreign;
+
+    Unusable(String message, boolean foreign) {
+      super(message, null, false, false);
+      this.foreign = foreign;
+    }
+  }
+
+  /** A piece of a full exchange, or an operator's call and its answer. */
+  public record Frame(Kind kind, boolean last, List<Claim> claims, String text) {
+    /** What a frame is for. */
+    public enum Kind { SYNC, VIEW, LEAVE }
+  }
+
+  public static final int MOST_DATAGRAM = 1_400;
+  public static final int MOST_FRAME = 64 << 10;
+  /** Claims in a frame: a claim is shorter than 512 bytes, as the names in it are bounded. */
+  static final int CLAIMS_A_FRAME = 100;
+  /** Characters in a name or address. */
+  public static final int MOST_TEXT = 64;
+  private static final int VERSION = 1;
+  private static final int CLAIM_FIELDS = 8;
+  private static final int ABOUT_FIELDS = 8;
+  private static final int DATAGRAM_FIELDS = 8;
+  private static final int FRAME_FIELDS = 6;
+  private static final int MOST_CLAIMS = 256;
+  /** Guards the arithmetic of lives and incarnations against a liar. */
+  private static final long MOST_NUMBER = 1L << 52;
+  private static final int MOST_LIFE = 1 << 30;
+
+  private final String fleet;
+
+  public Codec(String fleet) {
+    this.fleet = fleet;
+  }
+
+  // ---------------------------------------------------------------- out
+
+  /** A datagram; news that do not fit are left out, and come again by their next turn. */
+  public byte[] encode(Message m) {
+    int news = m.news().size();
+    byte[] bytes = encode(m, news);
+    while (bytes.length > MOST_DATAGRAM && news > 0) {
+      bytes = encode(m, --news);
+    }
+    return bytes;
+  }
+
+  private byte[] encode(Message m, int news) {
+    try (MessageBufferPacker out = head(DATAGRAM_FIELDS)) {
+      out.packByte((byte) m.kind().ordinal()).packLong(m.seq()).packString(m.target()).packString(m.address());
+      pack(out, m.from());
+      pack(out, m.news().subList(0, news));
+      return out.toByteArray();
+    } catch (IOException e) {
+      throw new IllegalStateException(e); // a buffer in memory
+    }
+  }
+
+  /** A frame's content. */
+  public byte[] encode(Frame f) {
+    try (MessageBufferPacker out = head(FRAME_FIELDS)) {
+      out.packByte((byte) f.kind.ordinal()).packBoolean(f.last);
+      pack(out, f.claims);
+      out.packString(f.text);
+      return out.toByteArray();
+    } catch (IOException e) {
+      throw new IllegalStateException(e); // a buffer in memory
+    }
+  }
+
+  private MessageBufferPacker head(int fields) throws IOException {
+    MessageBufferPacker out = MessagePack.newDefaultBufferPacker();
+    out.packArrayHeader(fields).packByte((byte) VERSION).packString(fleet);
+    return out;
+  }
+
+  private static void pack(MessageBufferPacker out, List<Claim> claims) throws IOException {
+    out.packArrayHeader(claims.size());
+    for (Claim c : claims) {
+      pack(out, c);
+    }
+  }
+
+  private static void pack(MessageBufferPacker out, Claim c) throws IOException {
+    out.packArrayHeader(CLAIM_FIELDS).packString(c.name()).packInt(c.life().number()).packLong(c.life().startId())
+        .packLong(c.incarnation()).packByte((byte) c.status().ordinal()).packString(c.accuser()).packLong(c.age());
+    About a = c.about();
+    if (a == null) {
+      out.packNil();
+    } else {
+      out.packArrayHeader(ABOUT_FIELDS).packString(a.hall()).packString(a.address()).packByte((byte) a.state().ordinal())
+          .packString(a.learning()).packString(a.door()).packString(a.release()).packInt(a.traffic()).packBoolean(a.informed());
+    }
+  }
+
+  // ---------------------------------------------------------------- in
+
+  public Message message(byte[] bytes) throws Unusable {
+    try (MessageUnpacker in = MessagePack.newDefaultUnpacker(bytes)) {
+      int extra = extra(in.unpackArrayHeader(), DATAGRAM_FIELDS);
+      known(in);
+      Message.Kind kind = one(Message.Kind.values(), in.unpackInt());
+      Message m = new Message(kind, in.unpackLong(), text(in), text(in), claim(in), claims(in));
+      if (m.from().about() == null) {
+        throw new Unusable("a sender that says nothing of itself", false);
+      }
+      in.skipValue(extra);
+      return m;
+    } catch (IOException | MessagePackException | IllegalArgumentException e) {
+      throw new Unusable(e.toString(), false);
+    }
+  }
+
+  public Frame frame(byte[] bytes) throws Unusable {
+    try (MessageUnpacker in = MessagePack.newDefaultUnpacker(bytes)) {
+      int extra = extra(in.unpackArrayHeader(), FRAME_FIELDS);
+      known(in);
+      Frame f = new Frame(one(Frame.Kind.values(), in.unpackInt()), in.unpackBoolean(), claims(in), in.unpackString());
+      in.skipValue(extra);
+      return f;
+    } catch (IOException | MessagePackException | IllegalArgumentException e) {
+      throw new Unusable(e.toString(), false);
+    }
+  }
+
+  private void known(MessageUnpacker in) throws IOException, Unusable {
+    int version = in.unpackInt();
+    if (version != VERSION) {
+      throw new Unusable("version " + version, true);
+    }
+    String of = text(in);
+    if (!of.equals(fleet)) {
+      throw new Unusable("fleet " + of, true);
+    }
+  }
+
+  private static int extra(int fields, int needed) {
+    require(fields >= needed, "too few fields");
+    return fields - needed;
+  }
+
+  private static List<Claim> claims(MessageUnpacker in) throws IOException {
+    int n = in.unpackArrayHeader();
+    require(n <= MOST_CLAIMS, "too many claims");
+    List<Claim> claims = new ArrayList<>(n);
+    for (int i = 0; i < n; i++) {
+      claims.add(claim(in));
+    }
+    return claims;
+  }
+
+  private static Claim claim(MessageUnpacker in) throws IOException {
+    int extra = extra(in.unpackArrayHeader(), CLAIM_FIELDS);
+    String name = text(in);
+    int life = in.unpackInt();
+    long startId = in.unpackLong();
+    long incarnation = in.unpackLong();
+    Claim.Status status = one(Claim.Status.values(), in.unpackInt());
+    String accuser = text(in);
+    long age = in.unpackLong();
+    require(!name.isEmpty() && life > 0 && life < MOST_LIFE && incarnation >= 0 && incarnation < MOST_NUMBER && age >= 0
+        && age < MOST_NUMBER, "figures that can't be");
+    Claim c = new Claim(name, new Life(life, startId), incarnation, status, in.tryUnpackNil() ? null : about(in), accuser, age);
+    in.skipValue(extra);
+    return c;
+  }
+
+  private static About about(MessageUnpacker in) throws IOException {
+    int extra = extra(in.unpackArrayHeader(), ABOUT_FIELDS);
+    About a = new About(text(in), text(in), one(About.State.values(), in.unpackInt()), text(in), text(in), text(in),
+        in.unpackInt(), in.unpackBoolean());
+    in.skipValue(extra);
+    return a;
+  }
+
+  private static String text(MessageUnpacker in) throws IOException {
+    String s = in.unpackString();
+    require(s.length() <= MOST_TEXT, "a text too long");
+    return s;
+  }
+
+  private static <E> E one(E[] all, int i) {
+    require(i >= 0 && i < all.length, "no such word");
+    return all[i];
+  }
+
+  private static void require(boolean holds, String otherwise) {
+    if (!holds) {
+      throw new IllegalArgumentException(otherwise);
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/umberrun/fleet/sim/FleetTrial.java
@@ -0,0 +1,377 @@
+package umberrun.fleet.sim;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.function.ToIntFunction;
+import java.util.random.RandomGenerator;
+import umberrun.fleet.About;
+import umberrun.fleet.Change;
+import umberrun.fleet.Claim;
+import umberrun.fleet.Life;
+import umberrun.fleet.Membership;
+import umberrun.fleet.Message;
+import umberrun.fleet.Outbox;
+import umberrun.fleet.Peer;
+import umberrun.fleet.Settings;
+import umberrun.fleet.Timer;
+import umberrun.sim.VirtualNetwork;
+
+/**
+ * A fleet on the virtual network: the state machines that the program runs, faults by the hand of a seed or a caller, and
+ * checks after each step. A broken check names what broke and when; the seed plays it again.
+ */
+public final class FleetTrial {
+  /** Makes a membership; tests put in ones that are broken on purpose. */
+  public interface Maker {
+    Membership make(Settings settings, String name, long startId, About about, RandomGenerator random, Outbox out);
+  }
+
+  /** A check that does not hold. */
+  public static final class Broken extends RuntimeException {
+    private static final long serialVersionUID = 1;
+
+    Broken(String message) {
+      super(message);
+    }
+  }
+
+  /** An exchange with a machine that does not answer is given up after this. */
+  private static final long EXCHANGE_MICROS = 2_000_000;
+  private static final int FEW = 64;
+  private static final int SELDOM = 64;
+
+  /** One machine, and the process on it where one runs. */
+  private final class Node implements Outbox {
+    final int number;
+    String name;
+    final Map<Timer, VirtualNetwork.Step> timers = new HashMap<>();
+    final Map<String, Life> newest = new HashMap<>();
+    Membership process;
+
+    Node(int number) {
+      this.number = number;
+      this.name = "n" + number;
+    }
+
+    void start() {
+      net.clear(number);
+      timers.clear();
+      newest.clear();
+      process = maker.make(settings, name, random.nextLong(), new About("hall-" + number % 3, address(number),
+          About.State.SERVING, "", "", "", 0, false), random.split(), this);
+      Membership p = process;
+      net.at(number, net.now(), () -> {
+        if (process == p) {
+          p.start(net.now());
+        }
+      });
+    }
+
+    @Override
+    public void send(String address, Message message) {
+      Integer to = numbers.get(address);
+      packets++;
+      bytes += size == null ? 0 : size.applyAsInt(message);
+      if (to != null) {
+        net.send(number, to, () -> {
+          if (nodes[to].process != null) {
+            nodes[to].process.receive(net.now(), message);
+            check(nodes[to]);
+          }
+        });
+      }
+    }
+
+    @Override
+    public void exchange(String address) {
+      Integer to = numbers.get(address);
+      Membership p = process;
+      long wait = 2 * net.delay();
+      if (to == null || to == number || !net.isOpen(number, to) || net.isPaused(to)) {
+        net.at(number, net.now() + EXCHANGE_MICROS, () -> unreachable(p, address, false));
+      } else if (nodes[to].process == null) {
+        net.at(number, net.now() + wait, () -> unreachable(p, address, true));
+      } else {
+        List<Claim> mine = p.all(net.now());
+        exchanges++;
+        net.at(to, net.now() + wait, () -> {
+          Membership other = nodes[to].process;
+          if (other != null && net.isOpen(number, to)) {
+            other.merge(net.now(), mine);
+            check(nodes[to]);
+            List<Claim> theirs = other.all(net.now());
+            net.at(number, net.now() + wait, () -> {
+              if (process == p) {
+                p.exchanged(net.now(), address, theirs);
+                check(this);
+              }
+            });
+          } else {
+            net.at(number, net.now() + wait, () -> unreachable(p, address, other == null));
+          }
+        });
+      }
+    }
+
+    private void unreachable(Membership p, String address, boolean refused) {
+      if (process == p) {
+        p.unreachable(address, refused);
+      }
+    }
+
+    @Override
+    public void start(Timer timer, long at) {
+      cancel(timer);
+      Membership p = process;
+      timers.put(timer, net.at(number, at, () -> {
+        if (process == p) {
+          timers.remove(timer);
+          process.due(net.now(), timer, net.now() - at + (slow == number ? slowBy : 0));
+          check(this);
+        }
+      }));
+    }
+
+    @Override
+    public void cancel(Timer timer) {
+      VirtualNetwork.Step before = timers.remove(timer);
+      if (before != null) {
+        before.cancel();
+      }
+    }
+
+    @Override
+    public void changed(Change c) {
+      Integer who = numbers.get(c.claim().about().address());
+      boolean well = who != null && nodes[who].process != null && !net.isPaused(who) && !net.isCut()
+          && nodes[who].process.self().life().equals(c.claim().life());
+      if (c.kind() == Change.Kind.SUSPECTED && well && c.by().equals(name)) {
+        wrongSuspicions++;
+        } else if (c.kind() == Change.Kind.DIED) {
+        wrongDeaths += well && buried.add(c.claim().name() + c.claim().life() + c.claim().incarnation()) ? 1 : 0;
+        if (who != null && nodes[who].process == null && killedAt[who] > 0) {
+          detected.add(net.now() - killedAt[who]);
+        }
+      }
+    }
+  }
+
+  private final Settings settings;
+  private final SplittableRandom random;
+  private final VirtualNetwork net;
+  private final Maker maker;
+  private final Node[] nodes;
+  private final Map<String, Integer> numbers = new HashMap<>();
+  private final long[] killedAt;
+  private ToIntFunction<Message> size;
+  private int slow = -1;
+  private long slowBy;
+  private long checks;
+  private boolean checked = true;
+  private long packets;
+  private long bytes;
+  private long exchanges;
+  private long wrongSuspicions;
+  private long wrongDeaths;
+  private final Set<String> buried = new HashSet<>();
+  private final List<Long> detected = new ArrayList<>();
+
+  /** A fleet of {@code size} machines, all of which start at once and are told of the first three. */
+  public FleetTrial(int size, Settings settings, long seed, Maker maker) {
+    this.settings = settings;
+    this.random = new SplittableRandom(seed);
+    this.maker = maker;
+    this.net = new VirtualNetwork(size, random.split());
+    this.nodes = new Node[size];
+    this.killedAt = new long[size];
+    net.links(0, 0, 200, 2_000);
+    for (int i = 0; i < size; i++) {
+      nodes[i] = new Node(i);
+      numbers.put(address(i), i);
+    }
+    for (Node n : nodes) {
+      n.start();
+    }
+  }
+
+  /** Where a machine listens. */
+  public static String address(int number) {
+    return "n" + number + ":1";
+  }
+
+  /** The settings of a trial: the first three machines are named in the list. */
+  public static Settings settings(int size) {
+    return Settings.usual("trial", List.of(address(0), address(1), address(2)), size);
+  }
+
+  // ---------------------------------------------------------------- faults
+
+  public VirtualNetwork net() {
+    return net;
+  }
+
+  public void kill(int node) {
+    nodes[node].process = null;
+    nodes[node].timers.values().forEach(VirtualNetwork.Step::cancel);
+    net.clear(node);
+    killedAt[node] = net.now();
+  }
+
+  /** A process begins under the name and address of the one before, which is gone. */
+  public void start(int node) {
+    if (nodes[node].process != null) {
+      kill(node);
+    }
+    killedAt[node] = 0;
+    nodes[node].start();
+  }
+
+  /** A process begins under another name at this machine's address. */
+  public void start(int node, String name) {
+    kill(node);
+    nodes[node].name = name;
+    start(node);
+  }
+
+  /** Cuts the machines for which {@code side} differs from each other. */
+  public void cut(ToIntFunction<Integer> side) {
+    for (int a = 0; a < nodes.length; a++) {
+      for (int b = 0; b < nodes.length; b++) {
+        if (side.applyAsInt(a) != side.applyAsInt(b)) {
+          net.cut(a, b);
+        }
+      }
+    }
+  }
+
+  /** One machine's timers come late by so much, though others are on time. */
+  public void slow(int node, long by) {
+    slow = node;
+    slowBy = by;
+  }
+
+  // ---------------------------------------------------------------- what is seen
+
+  /** Counts bytes too, by what a message takes. */
+  public void measure(ToIntFunction<Message> sizeOf) {
+    size = sizeOf;
+  }
+
+  public void unchecked() {
+    checked = false;
+  }
+
+  public boolean lives(int node) {
+    return nodes[node].process != null;
+  }
+
+  public Membership process(int node) {
+    return nodes[node].process;
+  }
+
+  public long packets() {
+    return packets;
+  }
+
+  public long bytes() {
+    return bytes;
+  }
+
+  public long exchanges() {
+    return exchanges;
+  }
+
+  public long wrongSuspicions() {
+    return wrongSuspicions;
+  }
+
+  public long wrongDeaths() {
+    return wrongDeaths;
+  }
+
+  /** How long after it was killed each member that still lives held a machine dead, in microseconds. */
+  public List<Long> detected() {
+    return detected;
+  }
+
+  /** Whether all that live tell the same: just those that live, none suspected, in their own words. */
+  public boolean isSettled() {
+    return unsettled() == null;
+  }
+
+  /** Who does not tell what is, or null. */
+  public String unsettled() {
+    int living = 0;
+    for (Node n : nodes) {
+      living += n.process == null ? 0 : 1;
+    }
+    for (Node n : nodes) {
+      if (n.process == null || net.isPaused(n.number)) {
+        continue;
+      }
+      if (n.process.living() != living - 1) {
+        return n.name + " sees " + n.process.living() + " others, " + (living - 1) + " live";
+      }
+      for (Peer p : n.process.peers()) {
+        Node of = nodes[numbers.get(p.claim().about().address())];
+        if (p.claim().isLiving() && (of.process == null || p.claim().status() != Claim.Status.ALIVE
+            || !p.claim().equals(of.process.self()))) {
+          return n.name + " holds " + p.claim();
+        }
+      }
+    }
+    return null;
+  }
+
+  /** Runs until all agree; how long that took, or -1 where they do not within {@code most}. */
+  public long settle(long most) {
+    long begun = net.now();
+    long step = Math.max(10 * Settings.MS, most / 400);
+    while (net.now() - begun <= most) {
+      if (isSettled()) {
+        return net.now() - begun;
+      }
+      net.run(net.now() + step);
+    }
+    return -1;
+  }
+
+  /** All shares of what belongs to all front ends, added up. */
+  public double shares() {
+    return Arrays.stream(nodes).filter(n -> n.process != null)
+        .mapToDouble(n -> 1 / n.process.divisor(net.now())).sum();
+  }
+
+  // ---------------------------------------------------------------- checks after each step
+
+  private void check(Node n) {
+    checks++;
+    if (!checked || n.process == null || nodes.length > FEW && checks % SELDOM != 0) {
+      return;
+    }
+    int living = 0;
+    for (Peer p : n.process.peers()) {
+      Claim c = p.claim();
+      Life before = n.newest.put(c.name(), c.life());
+      if (before != null && before.compareTo(c.life()) > 0) {
+        throw new Broken(n.name + " went back from life " + before + " to " + c);
+      }
+      living += c.isLiving() && !c.name().equals(n.name) ? 1 : 0; // who has yielded keeps the one it yielded to
+      if (p.since() > net.now() || c.status() == Claim.Status.SUSPECT != p.accusers().iterator().hasNext()) {
+        throw new Broken(n.name + " is at odds with itself about " + c);
+      }
+    }
+    if (living != n.process.living()) {
+      throw new Broken(n.name + " counts " + n.process.living() + " that live and holds " + living);
+    }
+    if (n.process.peers().size() > settings.members() || n.process.queued() > settings.members() + 1) {
+      throw new Broken(n.name + " exceeds its bounds");
+    }
+  }
+}
--- a/src/main/java/umberrun/handover/Handover.java
+++ b/src/main/java/umberrun/handover/Handover.java
@@ -15,7 +15,7 @@
 import umberrun.core.Owner;
 import umberrun.handover.Ledger.Other;
 import umberrun.handover.Ledger.State;
-import umberrun.learning.Exchange;
+import umberrun.learning.net.Exchange;
 
 /**
  * What two processes of one front end tell each other while one replaces the other: the workers that operators took
--- a/src/main/java/umberrun/learning/Page.java
+++ b/src/main/java/umberrun/learning/Page.java
@@ -32,7 +32,7 @@
   private static final int MOST_NAME = 256;
 
   /** The page as text; of the facts as many as fit into so many bytes, the others are left to the next page. */
-  static String write(String epoch, long uptime, List<Fact> facts, int from, int mostBytes, long now) {
+  public static String write(String epoch, long uptime, List<Fact> facts, int from, int mostBytes, long now) {
     StringBuilder items = new StringBuilder();
     int i = from;
     for (; i < facts.size(); i++) {
@@ -69,7 +69,7 @@
    * Reads a page that arrived at {@code now}; {@code took} microseconds may have passed since it was written. Fields that
    * are not known here are passed over, a fact that can't be read is left out.
    */
-  static Page read(String text, long now, long took) throws Unusable {
+  public static Page read(String text, long now, long took) throws Unusable {
     try {
       JsonObject o = JsonParser.parseString(text).getAsJsonObject();
       if (o.get("v").getAsInt() != FORM) {
--- a/src/main/java/umberrun/learning/Exchange.java
+++ b/src/main/java/umberrun/learning/net/Exchange.java
@@ -1,8 +1,10 @@
-package umberrun.learning;
+package umberrun.learning.net;
 
 import io.vertx.core.Future;
 import java.util.List;
 import umberrun.core.Owner;
+import umberrun.learning.Fact;
+import umberrun.learning.Page;
 import umberrun.learning.Page.Unusable;
 
 /** Pages in and out of the owner, whichever way they travel. */
--- a/src/main/java/umberrun/learning/Learning.java
+++ b/src/main/java/umberrun/learning/net/Learning.java
@@ -1,4 +1,4 @@
-package umberrun.learning;
+package umberrun.learning.net;
 
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
@@ -18,8 +18,10 @@
 import java.util.List;
 import java.util.Random;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import umberrun.core.Clock;
 import umberrun.core.Owner;
+import umberrun.learning.Page;
 import umberrun.stats.Counters;
 import umberrun.stats.Counters.Count;
 
@@ -59,7 +61,10 @@
   private final Settings settings;
   private final Consumer<String> log;
   private final Deque<SocketAddress> unasked;
+  private final Supplier<Future<List<SocketAddress>>> members;
   private final Promise<Void> done = Promise.promise();
+  private boolean membersDue;
+  private int peers;
   private int asking;
   private int used;
   private boolean satisfied;
@@ -67,8 +72,10 @@
   private SocketAddress best;
   private int bestUsed;
 
+  /** @param members gives, once they are known, those who live now, the nearest first; null where nobody can tell */
   public Learning(Vertx vertx, Owner owner, Clock clock, Counters counters, Settings settings, long seed,
-      Consumer<String> log) {
+      Supplier<Future<List<SocketAddress>>> members, Consumer<String> log) {
+    this.members = members;
     this.vertx = vertx;
     this.owner = owner;
     this.clock = clock;
@@ -86,20 +93,39 @@
   public Future<Void> learn() {
     long begun = clock.now();
     long timer = vertx.setTimer(settings.deadlineMillis(), t -> done.tryComplete());
-    for (int i = 0; i < AT_ONCE; i++) {
-      askNext();
-    }
-    if (asking == 0) {
-      done.tryComplete();
+    peers = unasked.size();
+    if (members != null) {
+      membersDue = true;
+      members.get().onComplete(m -> {
+        membersDue = false;
+        if (m.succeeded()) {
+          unasked.removeAll(m.result()); // who is known to live is asked before who is only on the list
+          for (int i = m.result().size() - 1; i >= 0; i--) {
+            unasked.addFirst(m.result().get(i));
+          }
+          peers += m.result().size();
+        }
+        askSome();
+      });
     }
+    askSome();
     return done.future().onComplete(v -> {
       vertx.cancelTimer(timer);
       follow(1);
-      log.accept("learning: " + used + " facts of use from " + settings.peers().size() + " peers in "
+      log.accept("learning: " + used + " facts of use from " + peers + " peers in "
           + (clock.now() - begun) / 1_000 + " ms");
     });
   }
 
+  private void askSome() {
+    for (int i = asking; i < AT_ONCE; i++) {
+      askNext();
+    }
+    if (asking == 0 && !membersDue) {
+      done.tryComplete();
+    }
+  }
+
   private void askNext() {
     SocketAddress peer = unasked.poll();
     if (peer == null || satisfied || done.future().isComplete()) {
@@ -121,7 +147,7 @@
   private void over() {
     asking--;
     askNext();
-    if (satisfied || asking == 0) {
+    if (satisfied || asking == 0 && !membersDue) {
       done.tryComplete();
     }
   }
--- a/src/main/java/umberrun/learning/PeerServer.java
+++ b/src/main/java/umberrun/learning/net/PeerServer.java
@@ -1,4 +1,4 @@
-package umberrun.learning;
+package umberrun.learning.net;
 
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
@@ -11,9 +11,12 @@
 import java.util.List;
 import umberrun.admission.Account;
 import umberrun.admission.Account.Use;
+import umberrun.admission.Budget;
 import umberrun.core.Clock;
 import umberrun.core.Owner;
-import umberrun.learning.Learning.Settings;
+import umberrun.learning.Fact;
+import umberrun.learning.Page;
+import umberrun.learning.net.Learning.Settings;
 import umberrun.stats.Counters;
 import umberrun.stats.Counters.Count;
 
--- /dev/null
+++ b/src/test/java/umberrun/fleet/FleetSeedsTest.java
@@ -0,0 +1,301 @@
+package umberrun.fleet;
+
+import static org.junit.Assert.assertEquals;
+import static org.junit.Assert.assertNotNull;
+import static org.junit.Assert.assertNull;
+import static org.junit.Assert.assertTrue;
+
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.random.RandomGenerator;
+import org.junit.Test;
+import umberrun.fleet.sim.FleetTrial;
+import umberrun.fleet.sim.FleetTrial.Maker;
+
+/** The view under faults that a seed draws, on the virtual network, and variants broken on purpose that must be caught. */
+public class FleetSeedsTest {
+  private static final long SECOND = Settings.SECOND;
+  /** Within this all that live tell the same after the last fault; docs/fleet-view.md has the sum. */
+  private static final long BOUND = 60 * SECOND;
+  private static final long LAST = 10 * SECOND;
+  /** No cut of these courses lasts longer, and all have heard of all by then. */
+  private static final long FORGET = 90 * SECOND;
+  /** What newcomers of whom not all have heard may add to the whole. */
+  private static final double WINDOW = 0.25;
+  /** Rounding of a sum of shares. */
+  private static final double ROUNDING = 1e-9;
+
+  /** Half a minute to three of faults of all kinds, then the bound. What broke, or null. */
+  static String play(int size, long seed, Maker maker) {
+    SplittableRandom random = new SplittableRandom(seed);
+    FleetTrial t = new FleetTrial(size, settings(size), random.nextLong(), maker);
+    try {
+      if (random.nextBoolean()) {
+        t.net().run(FORGET + 10 * SECOND);
+      }
+      for (int fault = 3 + random.nextInt(5); fault > 0; fault--) {
+        draw(t, size, random);
+        for (long end = t.net().now() + (long) (random.nextDouble() * 12 * SECOND); t.net().now() < end;) {
+          t.net().run(t.net().now() + SECOND / 4);
+          if (t.shares() > 1 + WINDOW + ROUNDING) {
+            return "seed " + seed + ": shares add up to " + t.shares() + " at " + t.net().now();
+          }
+        }
+      }
+      t.net().run(t.net().now() + LAST); // restarts and deaths that are yet to come
+      t.net().healAll();
+      t.net().links(0, 0.01, 200, 20_000);
+      t.slow(-1, 0);
+      for (int i = 0; i < size; i++) {
+        if (t.net().isPaused(i)) {
+          t.net().resume(i);
+        }
+      }
+      return t.settle(BOUND) >= 0 ? null : "seed " + seed + " of " + size + ": " + t.unsettled();
+    } catch (FleetTrial.Broken e) {
+      return "seed " + seed + " of " + size + ": " + e.getMessage();
+    }
+  }
+
+  private static Settings settings(int size) {
+    Settings s = FleetTrial.settings(size);
+    return new Settings(s.fleet(), s.seeds(), s.interval(), s.timeout(), s.exchange(), s.reconnect(), s.sure(), FORGET,
+        s.settle(), s.members(), s.siblings(), s.doubts());
+  }
+
+  private static void draw(FleetTrial t, int size, RandomGenerator random) {
+    int one = random.nextInt(size);
+    int other = random.nextInt(size);
+    switch (random.nextInt(9)) {
+      case 0 -> { // a third killed at once, back within 1.1 to 5.6 s
+        for (int i = 0; i < size / 3; i++) {
+          int who = random.nextInt(size);
+          t.kill(who);
+          t.net().at(t.net().now() + 1_100_000 + random.nextLong(4_500_000), () -> t.start(who));
+        }
+      }
+      case 1 -> {
+        int sides = 2 + random.nextInt(2);
+        t.cut(i -> i * 7 % 11 % sides);
+        t.net().at(t.net().now() + SECOND + random.nextLong(59 * SECOND), t.net()::healAll);
+      }
+      case 2 -> t.net().cut(one, other);
+      case 3 -> {
+        t.net().pause(one);
+        t.net().at(t.net().now() + 2 * SECOND + random.nextLong(40 * SECOND), () -> t.net().resume(one));
+      }
+      case 4 -> t.net().links(0.3 * random.nextDouble(), 0.1, 200, 60_000);
+      case 5 -> t.slow(one, random.nextLong(SECOND));
+      case 6 -> { // joins and dies again and again
+        for (int i = 0; i < 4; i++) {
+          t.net().at(t.net().now() + i * SECOND, () -> t.kill(one));
+          t.net().at(t.net().now() + i * SECOND + SECOND / 2, () -> t.start(one));
+        }
+      }
+      case 7 -> t.kill(one);
+      default -> { // one after the other replaced in place
+        for (int i = 0; i < size; i++) {
+          int who = i;
+          t.net().at(t.net().now() + i * LAST / size, () -> t.start(who));
+        }
+      }
+    }
+  }
+
+  @Test
+  public void smallFleetsAgreeAfterAllFaults() {
+    for (long seed = 1; seed <= 400; seed++) {
+      assertNull(play(5, seed, Membership::new));
+    }
+  }
+
+  @Test
+  public void mediumFleetsAgreeAfterAllFaults() {
+    for (long seed = 1; seed <= 12; seed++) {
+      assertNull(play(50, seed, Membership::new));
+    }
+  }
+
+  /** The same seed, the same course to the last packet. */
+  @Test
+  public void aSeedPlaysTheSameAgain() {
+    long[] packets = new long[2];
+    for (int i = 0; i < 2; i++) {
+      FleetTrial t = new FleetTrial(20, FleetTrial.settings(20), 7, Membership::new);
+      t.net().links(0.2, 0.1, 200, 50_000);
+      t.net().run(20 * SECOND);
+      t.kill(3);
+      t.net().run(40 * SECOND);
+      packets[i] = t.packets() * 1_000_003 + t.wrongSuspicions();
+    }
+    assertEquals(packets[0], packets[1]);
+  }
+
+  private static String firstBroken(int size, int seeds, Maker maker) {
+    for (long seed = 1; seed <= seeds; seed++) {
+      String broken = play(size, seed, maker);
+      if (broken != null) {
+        return broken;
+      }
+    }
+    return null;
+  }
+
+  /** Guards the checks: one that refutes with the incarnation it was accused under stays dead. */
+  @Test
+  public void aVariantWithoutIncarnationsIsCaught() {
+    assertNotNull(firstBroken(5, 60, (s, name, id, about, random, out) -> new Membership(s, name, id, about, random, out) {
+      @Override
+      protected long refuting(long accused) {
+        return accused;
+      }
+    }));
+  }
+
+  /** Guards the checks: without the dead and the list to come back to, halves stay halves. */
+  @Test
+  public void aVariantWithoutExchangeWithTheDeadIsCaught() {
+    assertNotNull(firstBroken(5, 60, (s, name, id, about, random, out) -> new Membership(s, name, id, about, random, out) {
+      @Override
+      protected List<String> lost() {
+        return living() == 0 && peers().isEmpty() ? super.lost() : List.of();
+      }
+    }));
+  }
+
+  /** Guards the checks: one that divides by those it sees takes what the other side of a cut has as well. */
+  @Test
+  public void aVariantThatDividesByWhomItSeesIsCaught() {
+    String broken = firstBroken(5, 60, (s, name, id, about, random, out) -> new Membership(s, name, id, about, random, out) {
+      @Override
+      public double divisor(long now) {
+        return living() + 1;
+      }
+    });
+    assertTrue(broken, broken != null && broken.contains("shares"));
+  }
+
+  // ---------------------------------------------------------------- hard cases, one by one
+
+  private static FleetTrial fleet(int size) {
+    FleetTrial t = new FleetTrial(size, FleetTrial.settings(size), 42, Membership::new);
+    assertTrue(t.unsettled(), t.settle(BOUND) >= 0);
+    return t;
+  }
+
+  /** Not so much as one wrong death: it is told of its own lateness by its timers. */
+  @Test
+  public void aSlowMemberDoesNotAccuseTheHealthy() {
+    FleetTrial t = fleet(10);
+    t.slow(4, 2 * SECOND);
+    t.net().run(t.net().now() + 60 * SECOND);
+    assertEquals(0, t.wrongSuspicions());
+    assertEquals(0, t.wrongDeaths());
+  }
+
+  @Test
+  public void aOneWayCutIsNoDeath() {
+    FleetTrial t = fleet(10);
+    t.net().cut(1, 2);
+    t.net().run(t.net().now() + 60 * SECOND);
+    assertEquals(9, t.process(2).living());
+    assertEquals(9, t.process(1).living());
+  }
+
+  /** It comes back under its former name with nothing said of its former life. */
+  @Test
+  public void aRestartIsNoDeath() {
+    FleetTrial t = fleet(10);
+    Claim before = t.process(3).self();
+    t.start(3);
+    assertTrue(t.unsettled(), t.settle(5 * SECOND) >= 0);
+    assertTrue(t.process(3).self().life().compareTo(before.life()) > 0);
+    t.process(5).receive(t.net().now(), new Message(Message.Kind.PING, 1, "n5", "", before, List.of())); // a late word
+    assertNull(t.unsettled());
+  }
+
+  /** A list of which nobody answers for a minute, and then one does. */
+  @Test
+  public void joiningNeverGivesUp() {
+    FleetTrial t = new FleetTrial(6, FleetTrial.settings(6), 42, Membership::new);
+    for (int i = 0; i < 3; i++) {
+      t.kill(i);
+    }
+    t.net().run(60 * SECOND);
+    assertEquals(0, t.process(4).living());
+    t.start(1);
+    assertTrue(t.unsettled(), t.settle(BOUND) >= 0);
+  }
+
+  @Test
+  public void twoStrangersUnderOneNameSettleOnOne() {
+    FleetTrial t = fleet(6);
+    t.start(5, "n4");
+    t.net().run(t.net().now() + BOUND);
+    assertTrue("just one tells of itself", t.process(4).hasYielded() != t.process(5).hasYielded());
+    int holder = t.process(4).hasYielded() ? 5 : 4;
+    for (int i = 0; i < 4; i++) {
+      assertEquals(4, t.process(i).living());
+      assertTrue(t.process(i).peers().stream().anyMatch(p -> p.claim().equals(t.process(holder).self())));
+    }
+    t.kill(holder);
+    t.net().run(t.net().now() + 2 * BOUND);
+    assertTrue("the other takes the name", !t.process(9 - holder).hasYielded());
+    assertEquals(4, t.process(0).living());
+  }
+
+  @Test
+  public void anotherNameAtAnAddressIsAnotherMember() {
+    FleetTrial t = fleet(6);
+    t.start(5, "other");
+    long took = t.settle(BOUND);
+    assertTrue(t.unsettled(), took >= 0 && took < 10 * SECOND);
+    assertTrue(t.process(0).peers().stream().anyMatch(p -> p.claim().name().equals("n5") && !p.claim().isLiving()));
+  }
+
+  /** Who grows beyond the number of the settings, whole or cut, takes no more than its part of what the window allows. */
+  @Test
+  public void newcomersDoNotOverfillTheWhole() {
+    for (int cut = 0; cut < 2; cut++) {
+      Settings s = settings(6);
+      FleetTrial t = new FleetTrial(10, s, 42 + cut, Membership::new);
+      for (int i = 6; i < 10; i++) {
+        t.kill(i);
+      }
+      assertTrue(t.unsettled(), t.settle(BOUND) >= 0);
+      t.net().run(t.net().now() + 2 * FORGET);
+      if (cut == 1) {
+        t.cut(i -> i % 2);
+        t.net().run(t.net().now() + 30 * SECOND);
+      }
+      for (int i = 6; i < 10; i++) {
+        t.start(i);
+      }
+      double most = 0;
+      for (int i = 0; i < 400; i++) {
+        t.net().run(t.net().now() + SECOND / 10);
+        most = Math.max(most, t.shares());
+      }
+      assertTrue("add up to " + most, most <= 1 + 4.0 / 4 / 6 + ROUNDING);
+      assertTrue("add up to " + t.shares() + " in the end", t.shares() <= 1 + ROUNDING);
+    }
+  }
+
+  /** Shares grow once those gone are surely gone, and not before. */
+  @Test
+  public void theSharesOfTheSurelyGoneAreTakenOver() {
+    FleetTrial t = new FleetTrial(10, settings(10), 42, Membership::new);
+    t.net().run(2 * FORGET);
+    for (int i = 5; i < 10; i++) {
+      t.kill(i);
+    }
+    t.net().run(t.net().now() + 50 * SECOND);
+    assertEquals(10, t.process(0).divisor(t.net().now()), ROUNDING);
+    t.net().run(t.net().now() + 60 * SECOND);
+    assertEquals(5, t.process(0).divisor(t.net().now()), ROUNDING);
+    t.process(1).leave(t.net().now()); // says so itself
+    t.kill(1);
+    t.net().run(t.net().now() + 5 * SECOND);
+    assertEquals(4, t.process(0).divisor(t.net().now()), ROUNDING);
+  }
+}
