--- a/src/main/java/umberrun/cli/FleetCommand.java
+++ b/src/main/java/umberrun/cli/FleetCommand.java
@@ -27,19 +27,16 @@
 final class FleetCommand implements Callable<Integer> {
   /** Whom to ask. */
   static final class Member {
-    @Parameters(paramLabel = "HOST:PORT", description = "fleet.listen of a member")
+    @Parameters(paramLabel = "HOST:PORT", arity = "0..1", description = "fleet.listen of a member")
     private String address;
 
-    @Option(names = "--fleet", paramLabel = "NAME", required = true, description = "fleet.name of its settings")
-    private String fleet;
-
     JsonObject ask(Frame.Kind kind) throws IOException {
-      int colon = address.lastIndexOf(':');
+      int colon = address == null ? -1 : address.lastIndexOf(':');
       if (colon <= 0) {
-        throw new IOException("not an address of the form host:port");
+        throw new IOException("an address of the form host:port is needed");
       }
       try {
-        return JsonParser.parseString(FleetClient.ask(fleet, address.substring(0, colon),
+        return JsonParser.parseString(FleetClient.ask(address.substring(0, colon),
             Integer.parseInt(address.substring(colon + 1)), kind)).getAsJsonObject();
       } catch (IllegalArgumentException | IllegalStateException | JsonParseException e) {
         throw new IOException(e.getMessage(), e);
--- a/src/main/java/umberrun/fleet/net/Codec.java
+++ b/src/main/java/umberrun/fleet/net/Codec.java
@@ -53,6 +53,7 @@
 
   private final String fleet;
 
+  /** @param fleet its name; empty for an operator, who calls any fleet, but takes part in none */
   public Codec(String fleet) {
     this.fleet = fleet;
   }
@@ -122,7 +123,7 @@
   public Message message(byte[] bytes) throws Unusable {
     try (MessageUnpacker in = MessagePack.newDefaultUnpacker(bytes)) {
       int extra = extra(in.unpackArrayHeader(), DATAGRAM_FIELDS);
-      known(in);
+      known(in, false);
       Message.Kind kind = one(Message.Kind.values(), in.unpackInt());
       Message m = new Message(kind, in.unpackLong(), text(in), text(in), claim(in), claims(in));
       if (m.from().about() == null) {
@@ -138,24 +139,29 @@
   public Frame frame(byte[] bytes) throws Unusable {
     try (MessageUnpacker in = MessagePack.newDefaultUnpacker(bytes)) {
       int extra = extra(in.unpackArrayHeader(), FRAME_FIELDS);
-      known(in);
+      boolean member = known(in, true);
       Frame f = new Frame(one(Frame.Kind.values(), in.unpackInt()), in.unpackBoolean(), claims(in), in.unpackString());
       in.skipValue(extra);
+      if (!member && f.kind == Frame.Kind.SYNC) {
+        throw new Unusable("an exchange of no fleet", true);
+      }
       return f;
     } catch (IOException | MessagePackException | IllegalArgumentException e) {
       throw new Unusable(e.toString(), false);
     }
   }
 
-  private void known(MessageUnpacker in) throws IOException, Unusable {
+  /** Whether a member wrote it; an operator may have where that is allowed. */
+  private boolean known(MessageUnpacker in, boolean operators) throws IOException, Unusable {
     int version = in.unpackInt();
     if (version != VERSION) {
       throw new Unusable("version " + version, true);
     }
     String of = text(in);
-    if (!of.equals(fleet)) {
+    if (!of.equals(fleet) && !(operators && (of.isEmpty() || fleet.isEmpty()))) {
       throw new Unusable("fleet " + of, true);
     }
+    return !of.isEmpty();
   }
 
   private static int extra(int fields, int needed) {
--- a/src/main/java/umberrun/fleet/net/FleetClient.java
+++ b/src/main/java/umberrun/fleet/net/FleetClient.java
@@ -15,9 +15,9 @@
 
   private FleetClient() { }
 
-  /** What a member answers, as JSON. {@code fleet} is the name of its fleet. */
-  public static String ask(String fleet, String host, int port, Frame.Kind kind) throws IOException {
-    Codec codec = new Codec(fleet);
+  /** What a member answers, as JSON. */
+  public static String ask(String host, int port, Frame.Kind kind) throws IOException {
+    Codec codec = new Codec("");
     try (Socket socket = new Socket()) {
       socket.setSoTimeout(PATIENCE_MILLIS);
       socket.connect(new InetSocketAddress(host, port), PATIENCE_MILLIS);
--- a/src/test/java/umberrun/FleetProcessesIT.java
+++ b/src/test/java/umberrun/FleetProcessesIT.java
@@ -213,7 +213,7 @@
   /** Sent away by hand it is gone at once, and comes back with its next start. */
   @Test
   public void leavingByHandIsSaid() throws Exception {
-    JsonObject answer = com.google.gson.JsonParser.parseString(FleetClient.ask(Processes.FLEET, "127.0.0.1", node(3).fleet,
+    JsonObject answer = com.google.gson.JsonParser.parseString(FleetClient.ask("127.0.0.1", node(3).fleet,
         Frame.Kind.LEAVE)).getAsJsonObject();
     assertTrue(answer.get("left").getAsBoolean());
     fleet.awaitView(BOUND_SECONDS, 0, 1, 2, 4, 5);
--- a/src/test/java/umberrun/Processes.java
+++ b/src/test/java/umberrun/Processes.java
@@ -78,7 +78,7 @@
     }
 
     JsonObject view() throws IOException {
-      return JsonParser.parseString(FleetClient.ask(FLEET, LOOPBACK, fleet, Frame.Kind.VIEW)).getAsJsonObject();
+      return JsonParser.parseString(FleetClient.ask(LOOPBACK, fleet, Frame.Kind.VIEW)).getAsJsonObject();
     }
 
     /** Whom it holds alive without a doubt, itself included, in order. */
--- a/src/test/java/umberrun/Scenario.java
+++ b/src/test/java/umberrun/Scenario.java
@@ -76,11 +76,14 @@
   private HttpServer roll;
   private final List<String> events = new ArrayList<>();
   private final List<String> consulWorkers = new ArrayList<>();
+  private final Map<String, JsonObject> instances = new java.util.concurrent.ConcurrentHashMap<>();
   private final BlockingQueue<String> registered = new LinkedBlockingQueue<>();
   private final BlockingQueue<Spoilt> spoilt = new LinkedBlockingQueue<>();
   private int consulIndex = 1;
   private String location;
   Server server;
+  /** Of the front end that is started next. */
+  String name = "n1";
   private final List<Server> servers = new ArrayList<>();
 
   /** Starts a front end with these workers; {@code consul} has them listed there instead of in the change log. */
@@ -146,12 +149,17 @@
 
   /** Starts another front end beside this one, which knows the same workers and learns from these peers. */
   Server learn(String... peers) throws Exception {
-    Server before = server;
     JsonObject learning = new JsonObject();
     learning.addProperty("listen", LOOPBACK + ":0");
     learning.add("peers", new com.google.gson.Gson().toJsonTree(peers));
     JsonObject file = new JsonObject();
     file.add("learning", learning);
+    return beside(file);
+  }
+
+  /** Starts another front end beside this one with this operator's file; the one before. */
+  Server beside(JsonObject file) throws Exception {
+    Server before = server;
     Map<String, String> other = new HashMap<>(env);
     other.put("UMBERRUN_OPERATOR", Files.writeString(Files.createTempFile("operator", ".json"), file.toString())
         .toString());
@@ -206,12 +214,12 @@
     return server;
   }
 
-  private String rollAddress() {
+  String rollAddress() {
     return LOOPBACK + ":" + roll.getAddress().getPort();
   }
 
   private String config(int port) {
-    return "{\"name\":\"n1\",\"listen\":\"127.0.0.1:" + port + "\",\"seed\":\"1\",\"limits\":{\"memory_mb\":12,\"sockets\":" + sockets
+    return "{\"name\":\"" + name + "\",\"listen\":\"127.0.0.1:" + port + "\",\"seed\":\"1\",\"limits\":{\"memory_mb\":12,\"sockets\":" + sockets
         + "},\"changelog\":\"" + rollAddress() + "\",\"known\":" + changesSince(0) + ",\"settings\":" + SETTINGS + "}";
   }
 
@@ -679,9 +687,24 @@
       ByteArrayOutputStream body = new ByteArrayOutputStream();
       x.getRequestBody().transferTo(body);
       registered.add(path + " " + body);
+      if (path.endsWith("/register")) {
+        JsonObject service = com.google.gson.JsonParser.parseString(body.toString()).getAsJsonObject();
+        instances.put(service.get("ID").getAsString(), service);
+      }
       reply(x, "");
       return;
     }
+    if (path.equals("/v1/catalog/service/umberrun")) { // the front ends' own service
+      com.google.gson.JsonArray found = new com.google.gson.JsonArray();
+      instances.forEach((id, service) -> {
+        JsonObject entry = new JsonObject();
+        entry.addProperty("ServiceID", id);
+        entry.add("ServiceMeta", service.get("Meta"));
+        found.add(entry);
+      });
+      reply(x, found.toString());
+      return;
+    }
     synchronized (consulWorkers) {
       boolean health = path.startsWith("/v1/health/");
       try {
