--- a/src/main/java/umberrun/agreement/Message.java
+++ b/src/main/java/umberrun/agreement/Message.java
@@ -4,6 +4,11 @@
 public sealed interface Message {
   long op();
 
+  /** Asks a voter what it has accepted last, and nothing of it: a look disturbs nobody's change. */
+  record Look(long op, String register) implements Message { }
+
+  record Looked(long op, Ballot accepted, Value value) implements Message { }
+
   /** Asks a voter not to accept anything older. */
   record Prepare(long op, String register, Ballot ballot) implements Message { }
 
--- a/src/main/java/umberrun/agreement/Proposer.java
+++ b/src/main/java/umberrun/agreement/Proposer.java
@@ -3,9 +3,12 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.TreeSet;
 import java.util.random.RandomGenerator;
 import umberrun.agreement.Message.Accept;
 import umberrun.agreement.Message.Accepted;
+import umberrun.agreement.Message.Look;
+import umberrun.agreement.Message.Looked;
 import umberrun.agreement.Message.Prepare;
 import umberrun.agreement.Message.Promised;
 import umberrun.agreement.Message.Refused;
@@ -50,6 +53,8 @@
   private final Set<String> yes = new HashSet<>();
   private Ballot newest;
   private Value value;
+  private boolean looking;
+  private boolean mixed;
   private boolean accepting;
   private boolean waits;
 
@@ -71,6 +76,24 @@
 
   /** Begins a change; given up at {@code until}. */
   public void submit(long now, String register, Change change, long until) {
+    begin(register, change, until);
+    attempt(now);
+  }
+
+  /**
+   * Begins a read. Where a majority has accepted the same last, that was chosen, and nothing later was before the read began, as one
+   * of that majority would have it: so it is linearizable without disturbing anybody's change. Else it goes on as a change that
+   * changes nothing.
+   */
+  public void read(long now, String register, long until) {
+    begin(register, v -> v, until);
+    next();
+    looking = true;
+    voters.forEach(v -> out.send(v, new Look(op, register)));
+    out.retry(Math.min(until, now + patience));
+  }
+
+  private void begin(String register, Change change, long until) {
     if (isBusy()) {
       throw new IllegalStateException("one change at a time");
     }
@@ -78,32 +101,46 @@
     this.change = change;
     this.until = until;
     this.backoff = FIRST_BACKOFF;
-    attempt(now);
   }
 
-  private void attempt(long now) {
+  private void next() {
     op++;
-    round++;
     yes.clear();
     newest = Ballot.NONE;
     value = Value.NONE;
+    looking = false;
+    mixed = false;
     accepting = false;
     waits = false;
+  }
+
+  private void attempt(long now) {
+    next();
+    round++;
     voters.forEach(v -> out.send(v, new Prepare(op, register, new Ballot(round, name))));
     out.retry(Math.min(until, now + patience));
   }
 
   /** A voter has answered. */
   public void receive(long now, String voter, Message m) {
-    if (!isBusy() || m.op() != op || waits) {
+    if (!awaits(m)) {
       return; // to a try that is over
     }
-    if (m instanceof Refused r) {
+    if (m instanceof Looked l && yes.add(voter)) {
+      mixed |= yes.size() > 1 && !l.accepted().equals(newest);
+      newest = l.accepted();
+      value = l.value();
+      if (isMajority() && !mixed) {
+        end(value);
+      } else if (isMajority()) {
+        attempt(now);
+      }
+    } else if (m instanceof Refused r) {
       round = Math.max(round, r.promised().round());
       waits = true;
       backoff = Math.min(LAST_BACKOFF, 2 * backoff);
       out.retry(Math.min(until, now + (long) (backoff * random.nextDouble()))); // so that two that meet do not meet again
-    } else if (m instanceof Promised p && !accepting && yes.add(voter)) {
+    } else if (m instanceof Promised p && yes.add(voter)) {
       if (p.accepted().compareTo(newest) > 0) {
         newest = p.accepted();
         value = p.value();
@@ -114,11 +151,22 @@
         value = change.apply(value);
         voters.forEach(v -> out.send(v, new Accept(op, register, new Ballot(round, name), value)));
       }
-    } else if (m instanceof Accepted && accepting && yes.add(voter) && isMajority()) {
+    } else if (m instanceof Accepted && yes.add(voter) && isMajority()) {
       end(value);
     }
   }
 
+  /** Whether an answer may still make a difference. */
+  boolean awaits(Message m) {
+    return isBusy() && m.op() == op && !waits && (m instanceof Refused || (looking ? m instanceof Looked
+        : accepting ? m instanceof Accepted : m instanceof Promised));
+  }
+
+  /** All that decides what it does next, for the explorer. */
+  String state() {
+    return op + " " + round + " " + isBusy() + " " + looking + mixed + accepting + waits + " " + newest + " " + value + " " + new TreeSet<>(yes);
+  }
+
   private boolean isMajority() {
     return yes.size() > voters.size() / 2;
   }
--- a/src/main/java/umberrun/agreement/Voter.java
+++ b/src/main/java/umberrun/agreement/Voter.java
@@ -5,6 +5,8 @@
 import java.util.TreeMap;
 import umberrun.agreement.Message.Accept;
 import umberrun.agreement.Message.Accepted;
+import umberrun.agreement.Message.Look;
+import umberrun.agreement.Message.Looked;
 import umberrun.agreement.Message.Prepare;
 import umberrun.agreement.Message.Promised;
 import umberrun.agreement.Message.Refused;
@@ -19,7 +21,7 @@
     static final Slot NONE = new Slot(Ballot.NONE, Ballot.NONE, Value.NONE);
   }
 
-  /** An answer, and what must be on disk before it leaves; {@code slot} null where nothing has changed. */
+  /** An answer, and what must be on disk, with all before it, before it leaves; {@code slot} null where nothing has changed. */
   public record Step(Message answer, String register, Slot slot) { }
 
   private final Map<String, Slot> slots;
@@ -36,6 +38,10 @@
 
   /** Answers a proposer. Null where it is not answered: a register too many, a value too long. */
   public Step handle(Message m) {
+    if (m instanceof Look l) {
+      Slot s = slots.getOrDefault(l.register(), Slot.NONE);
+      return new Step(new Looked(l.op(), s.accepted, s.value), l.register(), null);
+    }
     if (m instanceof Prepare p) {
       Slot s = slots.getOrDefault(p.register(), Slot.NONE);
       if (p.ballot().compareTo(s.promised) <= 0) {
--- a/src/main/java/umberrun/lease/Claimant.java
+++ b/src/main/java/umberrun/lease/Claimant.java
@@ -22,7 +22,10 @@
 
   /** What a claimant wants done. */
   public interface Outbox {
-    /** Has a register changed; {@code changed} is owed for it. */
+    /** Has the register read; {@code changed} is owed for it. */
+    void read(long until);
+
+    /** Has the register changed; {@code changed} is owed for it. */
     void propose(Change change, long until);
 
     /** Starts the one wait, in the place of the one before. */
@@ -33,7 +36,6 @@
   }
 
   private static final int RENEW_PART = 3;
-  private static final Change WATCH = v -> v;
 
   private final Settings settings;
   private final String name;
@@ -61,7 +63,7 @@
 
   /** Begins to watch. */
   public void start(long now) {
-    propose(now, WATCH);
+    watch(now);
   }
 
   /** Whether this front end should have the duty; one that should not gives it back. */
@@ -96,7 +98,7 @@
     } else if (fit && known && (!l.isHeld() || l.isOf(name, startId) || now >= freeAt(l))) {
       ask(now, this::taken);
     } else {
-      propose(now, WATCH);
+      watch(now);
     }
   }
 
@@ -131,18 +133,26 @@
     });
   }
 
+  private void watch(long now) {
+    begin(now);
+    out.read(now + settings.patience());
+  }
+
   private void propose(long now, Change change) {
+    begin(now);
+    out.propose(change, now + settings.patience());
+  }
+
+  private void begin(long now) {
     asking = true;
     askedAt = now;
     made = false;
-    out.propose(change, now + settings.patience());
   }
 
   /** A change is over: what the register held then, or null where that is not known. */
   public void changed(long now, Value v) {
     asking = false;
-    if (v == null) {
-      known = false; // what was seen may have been replaced by this one's own change
+    if (v == null) { // what was seen, and when, still holds: if it was replaced, its version is another by now
       rest(now, settings.length() / RENEW_PART / 2);
       return;
     }
--- a/src/main/java/umberrun/lease/sim/LeaseTrial.java
+++ b/src/main/java/umberrun/lease/sim/LeaseTrial.java
@@ -161,6 +161,11 @@
       }
     }
 
+    @Override
+    public void read(long until) {
+      proposer.read(clock(), REGISTER, until);
+    }
+
     @Override
     public void propose(Proposer.Change change, long until) {
       proposer.submit(clock(), REGISTER, change, until);
--- a/src/test/java/umberrun/lease/LeaseSeedsTest.java
+++ b/src/test/java/umberrun/lease/LeaseSeedsTest.java
@@ -13,6 +13,7 @@
 /** One duty under faults that a seed draws, and variants broken on purpose that must be caught. */
 public class LeaseSeedsTest {
   private static final long SECOND = 1_000_000;
+  private static final long LAST = 8 * SECOND;
   /** In fair times a free duty is taken within a lease, the wait of others beyond it and the time between two looks. */
   private static final long BOUND = 3 * LeaseTrial.USUAL.length();
 
@@ -26,6 +27,7 @@
         draw(t, random, fault);
         t.run((long) (random.nextDouble() * 4 * SECOND));
       }
+      t.run(LAST); // stops and starts that are yet to come
       t.net().healAll();
       t.net().links(0, 0.02, 200, 5_000);
       for (int i = 0; i < t.voterCount(); i++) {
