--- a/src/test/java/umberrun/lease/LeaseSeedsTest.java
+++ b/src/test/java/umberrun/lease/LeaseSeedsTest.java
@@ -89,7 +89,7 @@
       }
       case 8 -> { // the answers to one come late, and then it stands still
         long standsAt = t.net().now() + random.nextLong(4 * SECOND);
-        t.net().late(t.machine(hit), 550_000);
+        t.net().late(t.machine(hit), 450_000);
         t.net().at(standsAt, () -> t.net().pause(t.machine(hit)));
         t.net().at(standsAt + 4 * SECOND, () -> {
           t.net().late(t.machine(hit), 0);
