Mend: a process that begins was taken for dead by its elder, an upgrade for a departure

Cause: upgrading six front ends one after the other, one elder said good-bye to the fleet though its successor was ready. Its log lacks 'another process lives beside this one': Ledger made its lock file first and locked it then, and a look for dead processes in between locked, and removed, it. The elder then closed without handing over. Ruled out: the order of readiness, which is written before. Change: the file is locked before it has its name. The process test replaces all six now; all clocks of the fleet's trial are minutes apart.

--- a/src/main/java/umberrun/fleet/sim/FleetTrial.java
+++ b/src/main/java/umberrun/fleet/sim/FleetTrial.java
@@ -45,6 +45,7 @@
   private static final long EXCHANGE_MICROS = 2_000_000;
   /** How long one that stutters goes on between its stops. */
   private static final long STRIDE = 1_000;
+  private static final long APART = 600_000_000;
   private static final int FEW = 64;
   private static final int SELDOM = 64;
 
@@ -61,6 +62,11 @@
       this.name = "n" + number;
     }
 
+    /** Its own clock: those of any two machines are minutes apart. */
+    long clock() {
+      return net.now() + number * APART;
+    }
+
     void start() {
       net.clear(number);
       timers.clear();
@@ -70,7 +76,7 @@
       Membership p = process;
       net.at(number, net.now(), () -> {
         if (process == p) {
-          p.start(net.now());
+          p.start(clock());
         }
       });
     }
@@ -87,7 +93,7 @@
 
     private void hear(Message message) {
       if (process != null) {
-        process.receive(net.now(), message);
+        process.receive(clock(), message);
         check(this);
       }
     }
@@ -102,17 +108,17 @@
       } else if (nodes[to].process == null) {
         net.at(number, net.now() + wait, () -> unreachable(p, address, true));
       } else {
-        List<Claim> mine = p.all(net.now());
+        List<Claim> mine = p.all(clock());
         exchanges++;
         net.at(to, net.now() + wait, () -> {
           Membership other = nodes[to].process;
           if (other != null && net.isOpen(number, to)) {
-            other.merge(net.now(), mine);
+            other.merge(nodes[to].clock(), mine);
             check(nodes[to]);
-            List<Claim> theirs = other.all(net.now());
+            List<Claim> theirs = other.all(nodes[to].clock());
             net.at(number, net.now() + wait, () -> {
               if (process == p) {
-                p.exchanged(net.now(), address, theirs);
+                p.exchanged(clock(), address, theirs);
                 check(this);
               }
             });
@@ -133,10 +139,10 @@
     public void start(Timer timer, long at) {
       cancel(timer);
       Membership p = process;
-      timers.put(timer, net.at(number, at, () -> {
+      timers.put(timer, net.at(number, at - clock() + net.now(), () -> {
         if (process == p) {
           timers.remove(timer);
-          process.due(net.now(), timer, net.now() - at);
+          process.due(clock(), timer, clock() - at);
           check(this);
         }
       }));
@@ -288,6 +294,11 @@
     return nodes[node].process;
   }
 
+  /** What a machine's own clock says. */
+  public long clock(int node) {
+    return nodes[node].clock();
+  }
+
   public long packets() {
     return packets;
   }
@@ -364,7 +375,7 @@
   /** All shares of what belongs to all front ends, added up. */
   public double shares() {
     return Arrays.stream(nodes).filter(n -> n.process != null)
-        .mapToDouble(n -> 1 / n.process.divisor(net.now())).sum();
+        .mapToDouble(n -> 1 / n.process.divisor(n.clock())).sum();
   }
 
   // ---------------------------------------------------------------- checks after each step
@@ -382,7 +393,7 @@
         throw new Broken(n.name + " went back from life " + before + " to " + c);
       }
       living += c.isLiving() && !c.name().equals(n.name) ? 1 : 0; // who has yielded keeps the one it yielded to
-      if (p.since() > net.now() || c.status() == Claim.Status.SUSPECT != p.accusers().iterator().hasNext()) {
+      if (p.since() > n.clock() || c.status() == Claim.Status.SUSPECT != p.accusers().iterator().hasNext()) {
         throw new Broken(n.name + " is at odds with itself about " + c);
       }
     }
--- a/src/main/java/umberrun/handover/Ledger.java
+++ b/src/main/java/umberrun/handover/Ledger.java
@@ -43,6 +43,7 @@
   private static final long LOCK_MILLIS = 400;
   private static final String STATE = "state.json";
   private static final String LOCK = ".lock";
+  private static final String BEGINS = ".begins";
   private static final String JSON = ".json";
   private static final String PROCESS = "process-";
 
@@ -57,9 +58,12 @@
     this.folder = Files.createDirectories(folder);
     this.self = PROCESS + id;
     this.log = log;
-    this.alive = FileChannel.open(folder.resolve(self + LOCK), StandardOpenOption.CREATE, StandardOpenOption.WRITE);
+    // Locked before it has its name: a process that finds a lock file which nobody holds takes its owner for dead and removes it.
+    Path begins = folder.resolve(self + BEGINS);
+    this.alive = FileChannel.open(begins, StandardOpenOption.CREATE, StandardOpenOption.WRITE);
     alive.lock();
     present(false, 0);
+    Files.move(begins, folder.resolve(self + LOCK), StandardCopyOption.ATOMIC_MOVE);
   }
 
   /** Whether the state may be another than when it was last read here: each change is a new file. */
--- a/src/test/java/umberrun/FleetProcessesIT.java
+++ b/src/test/java/umberrun/FleetProcessesIT.java
@@ -14,7 +14,6 @@
 import java.util.Map;
 import java.util.Random;
 import java.util.TreeMap;
-import java.util.concurrent.TimeUnit;
 import org.junit.AfterClass;
 import org.junit.Before;
 import org.junit.BeforeClass;
@@ -162,28 +161,22 @@
     fleet.awaitView(BOUND_SECONDS, ALL);
   }
 
-  /** The successor is the same member, and the elder's end is no departure. */
+  /** All replaced one after the other: each successor is the same member, and no elder's end is a departure. */
   @Test
-  public void anUpgradeIsNoDeparture() throws Exception {
-    int before = node(1).said().length();
-    Processes.Node n = node(5);
-    Process elder = n.process;
-    int second;
-    try (java.net.ServerSocket s = new java.net.ServerSocket(0)) {
-      second = s.getLocalPort();
+  public void upgradesAreNoDepartures() throws Exception {
+    int[] before = new int[SIZE];
+    for (int i : ALL) {
+      before[i] = node(i).said().length();
+    }
+    for (int i : ALL) {
+      node(i).upgrade();
+      fleet.awaitView(BOUND_SECONDS, ALL);
+    }
+    for (int i : ALL) {
+      String since = node(i).said().substring(before[i]);
+      assertTrue(since, since.contains("\"restarted\""));
+      assertFalse("n" + i + " saw a departure: " + since, since.contains("\"left\"") || since.contains("\"died\""));
     }
-    n.process = fleet.launch(n, second);
-    Processes.awaitReady(second);
-    n.disturbed = true; // its clients are let go of, as an upgrade does
-    elder.destroy();
-    assertTrue("the elder is still there", elder.waitFor(BOUND_SECONDS, TimeUnit.SECONDS));
-    fleet.awaitView(BOUND_SECONDS, ALL);
-    String since = node(1).said().substring(before);
-    assertTrue(since, since.lines().anyMatch(l -> l.contains("\"restarted\"") && l.contains("n5")));
-    assertFalse(since, since.lines().anyMatch(l -> l.contains("n5") && (l.contains("\"left\"") || l.contains("\"died\""))));
-    n.kill(); // the door of the harness is the first process's
-    n.start();
-    Processes.awaitReady(n.door);
   }
 
   /** What is no message of this fleet costs nothing but itself. */
--- a/src/test/java/umberrun/Processes.java
+++ b/src/test/java/umberrun/Processes.java
@@ -45,7 +45,7 @@
     final int number;
     final int rpc = freePort();
     final int fleet = freePort();
-    final int door = freePort();
+    int door = freePort();
     final int learning = freePort();
     final Path folder;
     final Path log;
@@ -64,7 +64,18 @@
     }
 
     void start() throws IOException {
-      process = launch(this, door);
+      process = launch(this);
+    }
+
+    /** Replaces the process by another one beside it, as an upgrade does; done once the elder is gone. */
+    void upgrade() throws Exception {
+      Process elder = process;
+      door = freePort();
+      start();
+      awaitReady(door);
+      disturbed = true; // its clients are let go of
+      elder.destroy();
+      assertTrue("the elder is still there", elder.waitFor(START_SECONDS, TimeUnit.SECONDS));
     }
 
     /** Sends a signal by its name; events that follow are waited for by what they lead to. */
@@ -184,8 +195,7 @@
     }
   }
 
-  /** Starts the program as this front end, with its door at a port. */
-  Process launch(Node n, int door) throws IOException {
+  private Process launch(Node n) throws IOException {
     JsonObject via = new JsonObject();
     for (Node other : nodes) {
       if (other != n) {
@@ -212,7 +222,7 @@
     ProcessBuilder b = new ProcessBuilder("/bin/sh", "-c", command).redirectErrorStream(true)
         .redirectOutput(ProcessBuilder.Redirect.appendTo(n.log.toFile())).directory(new File("."));
     b.environment().putAll(Map.of("EDGE_CONFIG", config.toString(), "UMBERRUN_OPERATOR", operator.toString(),
-        "TMPDIR", n.folder.toString(), "EDGE_OPERATOR", LOOPBACK + ":" + door));
+        "TMPDIR", n.folder.toString(), "EDGE_OPERATOR", LOOPBACK + ":" + n.door));
     return b.start();
   }
 
--- a/src/test/java/umberrun/fleet/FleetSeedsTest.java
+++ b/src/test/java/umberrun/fleet/FleetSeedsTest.java
@@ -214,7 +214,7 @@
     t.start(3);
     assertTrue(t.unsettled(), t.settle(5 * SECOND) >= 0);
     assertTrue(t.process(3).self().life().compareTo(before.life()) > 0);
-    t.process(5).receive(t.net().now(), new Message(Message.Kind.PING, 1, "n5", "", before, List.of())); // a late word
+    t.process(5).receive(t.clock(5), new Message(Message.Kind.PING, 1, "n5", "", before, List.of())); // a late word
     assertNull(t.unsettled());
   }
 
@@ -294,12 +294,12 @@
       t.kill(i);
     }
     t.net().run(t.net().now() + 50 * SECOND);
-    assertEquals(10, t.process(0).divisor(t.net().now()), ROUNDING);
+    assertEquals(10, t.process(0).divisor(t.clock(0)), ROUNDING);
     t.net().run(t.net().now() + 60 * SECOND);
-    assertEquals(5, t.process(0).divisor(t.net().now()), ROUNDING);
-    t.process(1).leave(t.net().now()); // says so itself
+    assertEquals(5, t.process(0).divisor(t.clock(0)), ROUNDING);
+    t.process(1).leave(t.clock(1)); // says so itself
     t.kill(1);
     t.net().run(t.net().now() + 5 * SECOND);
-    assertEquals(4, t.process(0).divisor(t.net().now()), ROUNDING);
+    assertEquals(4, t.process(0).divisor(t.clock(0)), ROUNDING);
   }
 }
--- a/src/test/java/umberrun/handover/LedgerTest.java
+++ b/src/test/java/umberrun/handover/LedgerTest.java
@@ -12,6 +12,7 @@
 import java.util.Map;
 import java.util.concurrent.BrokenBarrierException;
 import java.util.concurrent.CyclicBarrier;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.junit.Before;
 import org.junit.Rule;
 import org.junit.Test;
@@ -34,6 +35,30 @@
     return new Ledger(shared, id, said::add);
   }
 
+  /** Guards a process that begins against one that looks for the dead at that moment: it would be missed for as long as it lives. */
+  @Test
+  public void oneThatBeginsIsNotTakenForDead() throws Exception {
+    Ledger elder = ledger("elder");
+    AtomicBoolean over = new AtomicBoolean();
+    Thread looks = new Thread(() -> {
+      while (!over.get()) {
+        elder.others();
+      }
+    });
+    looks.start();
+    try {
+      for (int i = 0; i < 300; i++) {
+        Ledger begins = ledger("b" + i);
+        begins.present(true, 0);
+        assertTrue("process " + i + " is missed", Files.exists(shared.resolve("process-b" + i + ".lock")));
+        begins.close();
+      }
+    } finally {
+      over.set(true);
+      looks.join();
+    }
+  }
+
   @Test
   public void whatOneWritesTheOtherReads() throws Exception {
     Ledger a = ledger("a");
