Ports of the process tests below the system's own, no dead code, processes always ended

Cause: one verify in five failed, 'n4: can't start: Address already in use': a free port from the system's own range went to some connection before the front end listened. Its five siblings were left running. Change: ports from 18000 to 30000, tried for both kinds; a failed start ends what it began.

--- a/src/main/java/umberrun/fleet/Suspicion.java
+++ b/src/main/java/umberrun/fleet/Suspicion.java
@@ -27,11 +27,6 @@
     return (long) (LEAST_INTERVALS * Math.max(1, Math.log10(Math.max(1, living))) * interval);
   }
 
-  /** The longest time. */
-  static long most(long interval, int living) {
-    return (long) (MOST_OVER_LEAST * least(interval, living));
-  }
-
   /** Takes in who accuses; whether that is news worth passing on. */
   boolean confirm(String accuser) {
     return accusers.size() <= ENOUGH && accusers.add(accuser);
--- a/src/main/java/umberrun/fleet/sim/FleetTrial.java
+++ b/src/main/java/umberrun/fleet/sim/FleetTrial.java
@@ -109,7 +109,6 @@
         net.at(number, net.now() + wait, () -> unreachable(p, address, true));
       } else {
         List<Claim> mine = p.all(clock());
-        exchanges++;
         net.at(to, net.now() + wait, () -> {
           Membership other = nodes[to].process;
           if (other != null && net.isOpen(number, to)) {
@@ -185,7 +184,6 @@
   private boolean checked = true;
   private long packets;
   private long bytes;
-  private long exchanges;
   private long wrongSuspicions;
   private long wrongDeaths;
   private final Set<String> buried = new HashSet<>();
@@ -307,10 +305,6 @@
     return bytes;
   }
 
-  public long exchanges() {
-    return exchanges;
-  }
-
   public long wrongSuspicions() {
     return wrongSuspicions;
   }
--- a/src/main/java/umberrun/lease/sim/LeaseTrial.java
+++ b/src/main/java/umberrun/lease/sim/LeaseTrial.java
@@ -208,7 +208,7 @@
 
     @Override
     public void hands(long fence, String cause) {
-      changes += fence >= 0 ? 1 : 0;
+      // seen by who may act
     }
 
     void crash() {
@@ -229,8 +229,6 @@
   private final List<Runnable> old = new ArrayList<>();
   private long highest = -1;
   private long lastAccepted = -1;
-  private long changes;
-  private long refusedActs;
 
   public LeaseTrial(int voterCount, int claimants, Claimant.Settings settings, long seed, Maker maker, Fault fault) {
     this.random = new SplittableRandom(seed);
@@ -317,19 +315,8 @@
     return -1;
   }
 
-  /** How often the duty was taken. */
-  public long changes() {
-    return changes;
-  }
-
-  /** Acts that came under an old fence and were refused. */
-  public long refusedActs() {
-    return refusedActs;
-  }
-
   private void accept(long fence) {
     if (fence < highest && fault != Fault.TAKES_OLD_FENCES) {
-      refusedActs++;
       return;
     }
     if (fence < lastAccepted) {
--- a/src/main/java/umberrun/sim/VirtualNetwork.java
+++ b/src/main/java/umberrun/sim/VirtualNetwork.java
@@ -29,11 +29,6 @@
     public void cancel() {
       cancelled = true;
     }
-
-    /** When it should happen, or should have. */
-    public long at() {
-      return at;
-    }
   }
 
   /** What a machine that stands still keeps of what arrives, as a socket's buffer does. */
--- a/src/test/java/umberrun/Processes.java
+++ b/src/test/java/umberrun/Processes.java
@@ -8,6 +8,7 @@
 import com.sun.net.httpserver.HttpServer;
 import java.io.File;
 import java.io.IOException;
+import java.net.DatagramSocket;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -39,6 +40,10 @@
   private static final String LOOPBACK = "127.0.0.1";
   private static final long START_SECONDS = 30;
   private static final int CALL_BUDGET_MILLIS = 3_000;
+  private static final int FIRST_PORT = 18_000;
+  private static final int PORTS = 12_000;
+  /** Begins elsewhere with each run, so that runs beside each other seldom meet. */
+  private static int lastPort = FIRST_PORT + (int) (ProcessHandle.current().pid() * 97 % PORTS);
 
   /** One front end: its places, and its process where one runs. */
   final class Node {
@@ -127,7 +132,6 @@
   private volatile boolean over;
   /** How long answers took, in microseconds. */
   final ConcurrentHistogram took = new ConcurrentHistogram(3);
-  final AtomicInteger answered = new AtomicInteger();
   final AtomicInteger served = new AtomicInteger();
   final List<String> faults = java.util.Collections.synchronizedList(new ArrayList<>());
 
@@ -173,11 +177,16 @@
         relays[a][b] = a == b ? null : new Relay(nodes.get(b).fleet);
       }
     }
-    for (Node n : nodes) {
-      n.start();
-    }
-    for (Node n : nodes) {
-      awaitReady(n.door);
+    try {
+      for (Node n : nodes) {
+        n.start();
+      }
+      for (Node n : nodes) {
+        awaitReady(n.door);
+      }
+    } catch (Exception | AssertionError e) { // guards the machine against processes that nobody ends
+      close();
+      throw e;
     }
     for (Node n : nodes) {
       Thread t = new Thread(() -> call(n), "client of n" + n.number);
@@ -187,11 +196,19 @@
     }
   }
 
-  private static int freePort() {
-    try (ServerSocket s = new ServerSocket(0, 1, InetAddress.getByName(LOOPBACK))) {
-      return s.getLocalPort();
-    } catch (IOException e) {
-      throw new AssertionError(e);
+  /**
+   * A port that nobody listens on, below those that the system gives to sockets by itself: guards a front end's port against
+   * any connection that is opened before it listens there.
+   */
+  private static synchronized int freePort() {
+    while (true) {
+      lastPort = FIRST_PORT + (lastPort + 1 - FIRST_PORT) % PORTS;
+      try (ServerSocket s = new ServerSocket(lastPort, 1, InetAddress.getByName(LOOPBACK));
+          DatagramSocket d = new DatagramSocket(new InetSocketAddress(LOOPBACK, lastPort))) {
+        return lastPort;
+      } catch (IOException e) {
+        continue; // somebody has it
+      }
     }
   }
 
@@ -310,7 +327,6 @@
             faults.add("n" + n.number + " answers " + answer + " to call " + id);
           }
           took.recordValue((System.nanoTime() - asked) / 1_000);
-          answered.incrementAndGet();
           served.addAndGet(answer.get(2).isNilValue() ? 1 : 0);
           Thread.sleep(5);
         }
@@ -346,7 +362,9 @@
       t.join(TimeUnit.SECONDS.toMillis(CALL_BUDGET_MILLIS / 1_000 + 3));
     }
     for (Node n : nodes) {
-      n.kill();
+      if (n.process != null) {
+        n.kill();
+      }
     }
     for (Scenario.Worker w : workers) {
       w.close();
--- a/src/test/java/umberrun/Relay.java
+++ b/src/test/java/umberrun/Relay.java
@@ -41,11 +41,11 @@
     this.to = to;
     this.connections = new ServerSocket(0, 50, LOOPBACK);
     this.datagrams = new DatagramSocket(new InetSocketAddress(LOOPBACK, connections.getLocalPort()));
-    daemon(this::passDatagrams);
-    daemon(() -> {
+    Scenario.daemon(this::passDatagrams);
+    Scenario.daemon(() -> {
       while (true) {
         Socket from = connections.accept();
-        daemon(() -> connect(from));
+        Scenario.daemon(() -> connect(from));
       }
     });
   }
@@ -87,7 +87,7 @@
 
   private void connect(Socket from) throws IOException {
     try (Socket other = new Socket(LOOPBACK, to)) {
-      Thread back = daemon(() -> pass(other, from, false));
+      Thread back = Scenario.daemon(() -> pass(other, from, false));
       pass(from, other, true);
       back.join();
     } catch (InterruptedException e) {
@@ -110,23 +110,6 @@
     }
   }
 
-  private interface Loop {
-    void run() throws IOException;
-  }
-
-  private static Thread daemon(Loop loop) {
-    Thread t = new Thread(() -> {
-      try {
-        loop.run();
-      } catch (IOException e) {
-        // one side has closed
-      }
-    });
-    t.setDaemon(true);
-    t.start();
-    return t;
-  }
-
   @Override
   public void close() throws IOException {
     connections.close();
--- a/src/test/java/umberrun/Scenario.java
+++ b/src/test/java/umberrun/Scenario.java
@@ -734,7 +734,7 @@
     void run() throws IOException;
   }
 
-  private static void daemon(Loop loop) {
+  static Thread daemon(Loop loop) {
     Thread t = new Thread(() -> {
       try {
         loop.run();
@@ -744,6 +744,7 @@
     });
     t.setDaemon(true);
     t.start();
+    return t;
   }
 
   @Override
