--- a/src/test/java/umberrun/FleetScenariosTest.java
+++ b/src/test/java/umberrun/FleetScenariosTest.java
@@ -8,7 +8,6 @@
 import com.google.gson.JsonParser;
 import java.io.PrintWriter;
 import java.io.StringWriter;
-import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Arrays;
@@ -96,12 +95,7 @@
   /** With nobody on a list, two find each other by the catalogue; operators see them, and send one away. */
   @Test
   public void membersAreFoundByConsul() throws Exception {
-    int[] ports = new int[2];
-    for (int i = 0; i < 2; i++) {
-      try (ServerSocket s = new ServerSocket(0)) {
-        ports[i] = s.getLocalPort();
-      }
-    }
+    int[] ports = {Processes.freePort(), Processes.freePort()};
     try (Scenario s = Scenario.of("w1")) {
       for (int i = 0; i < 2; i++) {
         s.name = "m" + i;
--- a/src/test/java/umberrun/Processes.java
+++ b/src/test/java/umberrun/Processes.java
@@ -200,7 +200,7 @@
    * A port that nobody listens on, below those that the system gives to sockets by itself: guards a front end's port against
    * any connection that is opened before it listens there.
    */
-  private static synchronized int freePort() {
+  static synchronized int freePort() {
     while (true) {
       lastPort = FIRST_PORT + (lastPort + 1 - FIRST_PORT) % PORTS;
       try (ServerSocket s = new ServerSocket(lastPort, 1, InetAddress.getByName(LOOPBACK));
