Voters replaced one at a time: sets with epochs, a succession, and seeds that catch shortcuts

Need: a voter must be replaceable while all goes on, and one that lost its folder must come back as another.

--- a/src/main/java/umberrun/agreement/Message.java
+++ b/src/main/java/umberrun/agreement/Message.java
@@ -1,5 +1,7 @@
 package umberrun.agreement;
 
+import java.util.List;
+
 /** Between those who propose and those who vote. {@code op} names the try that it belongs to. */
 public sealed interface Message {
   long op();
@@ -22,4 +24,21 @@
 
   /** It has promised more to another. */
   record Refused(long op, Ballot promised) implements Message { }
+
+  /** Tells a voter who votes from now on. */
+  record Install(long op, Voters voters) implements Message { }
+
+  /** It answers that set only, or a later one. */
+  record Installed(long op) implements Message { }
+
+  /** The question was of a set that has been replaced: by this one, or by one before it. */
+  record Outdated(long op, Voters voters) implements Message { }
+
+  /** The question was of a set that this voter has not been told of: whoever asks it, tells it. */
+  record Behind(long op) implements Message { }
+
+  /** Asks a voter which registers it has. */
+  record ListNames(long op) implements Message { }
+
+  record Names(long op, List<String> names) implements Message { }
 }
--- a/src/main/java/umberrun/agreement/Proposer.java
+++ b/src/main/java/umberrun/agreement/Proposer.java
@@ -39,7 +39,7 @@
   private static final long LAST_BACKOFF = 320_000;
 
   private final String name;
-  private final List<String> voters;
+  private List<String> voters;
   private final long patience;
   private final RandomGenerator random;
   private final Outbox out;
@@ -70,6 +70,16 @@
     this.out = out;
   }
 
+  /** Others vote from now on: what was asked of those before is asked anew. */
+  public void voters(long now, List<String> next) {
+    voters = List.copyOf(next);
+    if (isBusy() && now < until) {
+      attempt(now);
+    } else {
+      next(); // what those before answer yet must not be counted among these
+    }
+  }
+
   public boolean isBusy() {
     return change != null;
   }
--- /dev/null
+++ b/src/main/java/umberrun/agreement/Seat.java
@@ -0,0 +1,94 @@
+package umberrun.agreement;
+
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import umberrun.agreement.Message.Behind;
+import umberrun.agreement.Message.Install;
+import umberrun.agreement.Message.Installed;
+import umberrun.agreement.Message.ListNames;
+import umberrun.agreement.Message.Names;
+import umberrun.agreement.Message.Outdated;
+import umberrun.agreement.Voter.Slot;
+import umberrun.agreement.Voter.Step;
+
+/**
+ * A voter's place in the sets that follow each other: answers what is asked in the epoch that it has taken, says the newer set
+ * to what is older, and wants to be told of the set first by what is newer. Free of I/O, as the voter is.
+ */
+public class Seat {
+  /** Where a folder keeps the set that was taken last; no register can have this name. */
+  static final String SLOT = "";
+
+  private final Voter voter;
+  private Voters taken;
+
+  /**
+   * @param synced what was on disk
+   * @param most registers
+   */
+  public Seat(Map<String, Slot> synced, int most) {
+    Map<String, Slot> registers = new TreeMap<>(synced);
+    Slot own = registers.remove(SLOT);
+    this.voter = new Voter(registers, most);
+    this.taken = own == null ? Voters.UNKNOWN : Voters.read(own.value().text());
+  }
+
+  /** What is on the disk of a voter that begins with a set. */
+  public static Step begin(Voters first) {
+    return new Step(null, SLOT, slot(first));
+  }
+
+  private static Slot slot(Voters v) {
+    return new Slot(Ballot.NONE, Ballot.NONE, new Value(v.epoch(), v.text()));
+  }
+
+  /** The set that it has taken. */
+  public Voters taken() {
+    return taken;
+  }
+
+  public Map<String, Slot> slots() {
+    return voter.slots();
+  }
+
+  /**
+   * Whether what was promised here must not be forgotten, so that the name can't get another folder: it votes by the set that
+   * whoever asks for it knows, or that set is older than the one taken here. (A folder that was never told of a set is
+   * kept and used: the set that names it may be written already.)
+   */
+  public boolean holdsOn(String key, Voters asOf) {
+    return asOf.keys().contains(key) || asOf.epoch() < taken.epoch();
+  }
+
+  /** Answers a question of an epoch; as with {@link Voter#handle}, what the step holds is synced before the answer leaves. */
+  public Step handle(long epoch, Message m) {
+    if (m instanceof Install i) {
+      if (i.voters().epoch() < taken.epoch()) {
+        return outdated(m);
+      }
+      boolean news = i.voters().epoch() > taken.epoch();
+      taken = news ? i.voters() : taken;
+      return new Step(new Installed(m.op()), SLOT, news ? slot(taken) : null);
+    }
+    if (isOld(epoch)) {
+      return outdated(m);
+    }
+    if (epoch != taken.epoch() || epoch == 0) {
+      return new Step(new Behind(m.op()), SLOT, null);
+    }
+    if (m instanceof ListNames) {
+      return new Step(new Names(m.op(), List.copyOf(voter.slots().keySet())), SLOT, null);
+    }
+    return voter.handle(m);
+  }
+
+  /** Whether a question comes from a set that was replaced; guards against majorities of sets that do not meet. */
+  protected boolean isOld(long epoch) {
+    return epoch < taken.epoch();
+  }
+
+  private Step outdated(Message m) {
+    return new Step(new Outdated(m.op(), taken), SLOT, null);
+  }
+}
--- a/src/main/java/umberrun/agreement/Voter.java
+++ b/src/main/java/umberrun/agreement/Voter.java
@@ -49,7 +49,7 @@
       }
       return store(p.register(), new Slot(p.ballot(), s.accepted, s.value), new Promised(p.op(), s.accepted, s.value));
     }
-    if (m instanceof Accept a && a.value().text().length() <= Value.MOST_BYTES) {
+    if (m instanceof Accept a && a.value().isShort()) {
       Slot s = slots.getOrDefault(a.register(), Slot.NONE);
       if (a.ballot().compareTo(s.promised) < 0) {
         return new Step(new Refused(a.op(), s.promised), a.register(), null);
--- /dev/null
+++ b/src/main/java/umberrun/agreement/Voters.java
@@ -0,0 +1,80 @@
+package umberrun.agreement;
+
+import java.util.Arrays;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+
+/**
+ * Who votes. Sets follow each other by epoch, each one key more or less than the one before.
+ *
+ * @param epoch 0 where it is not known yet who votes
+ * @param keys {@code name#folder id}: a name with another folder is another voter
+ * @param leaving the key that goes with the next set, or empty: such a set is on the way from one to another
+ * @param former the keys of the set before
+ */
+public record Voters(long epoch, List<String> keys, String leaving, List<String> former) {
+  public static final Voters UNKNOWN = new Voters(0, List.of(), "", List.of());
+  /** The register in which the newest set stands. */
+  public static final String REGISTER = "~voters";
+
+  private static final String NONE = "-";
+
+  /** The first set. */
+  public static Voters first(List<String> keys) {
+    return new Voters(1, List.copyOf(keys), "", List.of());
+  }
+
+  public static String nameOf(String key) {
+    return key.substring(0, key.lastIndexOf('#'));
+  }
+
+  /** The key of a name among those that vote, or null. */
+  public String keyOf(String name) {
+    return keys.stream().filter(k -> nameOf(k).equals(name) && !k.equals(leaving)).findFirst().orElse(null);
+  }
+
+  /** The set on the way in which a newcomer votes beside all, and one of them is about to leave. */
+  Voters with(String comes, String leaves) {
+    Set<String> more = new LinkedHashSet<>(keys);
+    more.add(comes);
+    return new Voters(epoch + 1, List.copyOf(more), leaves, keys);
+  }
+
+  /** The set after the one on the way. */
+  Voters withoutLeaving() {
+    return new Voters(epoch + 1, keys.stream().filter(k -> !k.equals(leaving)).toList(), "", keys);
+  }
+
+  boolean isOnTheWay() {
+    return !leaving.isEmpty();
+  }
+
+  static boolean isMajority(Set<String> said, List<String> of) {
+    return of.stream().filter(said::contains).count() > of.size() / 2;
+  }
+
+  public String text() {
+    return epoch + " " + join(keys) + " " + (leaving.isEmpty() ? NONE : leaving) + " " + join(former);
+  }
+
+  /** Reads what {@link #text} wrote; unknown where it is empty. */
+  public static Voters read(String text) {
+    if (text.isEmpty()) {
+      return UNKNOWN;
+    }
+    String[] parts = text.split(" ", -1);
+    if (parts.length != 4) {
+      throw new IllegalArgumentException("no set of voters: '" + text + "'");
+    }
+    return new Voters(Long.parseLong(parts[0]), split(parts[1]), parts[2].equals(NONE) ? "" : parts[2], split(parts[3]));
+  }
+
+  private static String join(List<String> all) {
+    return all.isEmpty() ? NONE : String.join(",", all);
+  }
+
+  private static List<String> split(String text) {
+    return text.equals(NONE) ? List.of() : Arrays.asList(text.split(","));
+  }
+}
--- /dev/null
+++ b/src/test/java/umberrun/agreement/RegisterSeedsTest.java
@@ -0,0 +1,149 @@
+package umberrun.agreement;
+
+import static org.junit.Assert.assertNotNull;
+import static org.junit.Assert.assertNull;
+import static org.junit.Assert.assertTrue;
+
+import java.util.Map;
+import java.util.SplittableRandom;
+import org.junit.Test;
+import umberrun.agreement.sim.RegisterTrial;
+import umberrun.agreement.sim.RegisterTrial.Maker;
+
+/** Registers while voters are replaced, killed, lose their folders and are cut off, and variants that must be caught. */
+public class RegisterSeedsTest {
+  private static final long SECOND = 1_000_000;
+  private static final Maker SOUND = new Maker() { };
+
+  private int done;
+  private int replaced;
+
+  private String play(long seed, Maker maker) {
+    SplittableRandom random = new SplittableRandom(seed);
+    RegisterTrial t = new RegisterTrial(5, 3, random.nextLong(), maker);
+    try {
+      for (int i = 0; i < 14; i++) {
+        draw(t, random);
+        t.run(random.nextLong(2 * SECOND));
+      }
+      t.net().healAll();
+      t.net().links(0, 0.02, 200, 5_000);
+      for (int i = 0; i < t.hostCount(); i++) {
+        t.net().resume(i);
+      }
+      t.run(3 * SECOND);
+      int before = t.done();
+      t.run(6 * SECOND);
+      done += t.done();
+      replaced += t.replaced();
+      return t.done() > before ? null : "seed " + seed + ": nothing is done in fair times\n" + t;
+    } catch (RegisterTrial.Broken e) {
+      return "seed " + seed + ": " + e.getMessage();
+    }
+  }
+
+  private static void draw(RegisterTrial t, SplittableRandom random) {
+    int a = random.nextInt(t.hostCount());
+    int b = random.nextInt(t.hostCount());
+    long later = t.net().now() + random.nextLong(3 * SECOND);
+    switch (random.nextInt(8)) {
+      case 0, 1, 2 -> t.replace(random.nextInt(t.hostCount()), a, t.voting().get(random.nextInt(t.voting().size())));
+      case 3 -> t.crash(a, false);
+      case 4 -> { // a folder is lost: one at a time, as a majority of them would be the end
+        if (t.lost() == 0 && t.isSettled()) {
+          t.crash(a, true);
+          t.replace(b, a, a);
+        }
+      }
+      case 5 -> {
+        t.net().pause(a);
+        t.net().at(later, () -> t.net().resume(a));
+      }
+      case 6 -> {
+        for (int i = 0; i < t.hostCount(); i++) {
+          if (i != a) {
+            t.net().cut(a, i);
+            if (random.nextBoolean()) {
+              t.net().cut(i, a);
+            }
+          }
+        }
+        t.net().at(later, t.net()::healAll);
+      }
+      default -> t.net().links(0.2 * random.nextDouble(), 0.1, 200, 5_000 + random.nextLong(SECOND / 4));
+    }
+  }
+
+  private String firstBroken(int seeds, Maker maker) {
+    for (long seed = 1; seed <= seeds; seed++) {
+      String broken = play(seed, maker);
+      if (broken != null && !broken.contains("nothing")) {
+        return broken;
+      }
+    }
+    return null;
+  }
+
+  @Test
+  public void whatWasDoneIsSeenWhoeverVotes() {
+    for (long seed = 1; seed <= 400; seed++) {
+      assertNull(play(seed, SOUND));
+    }
+    assertTrue(done + " done, " + replaced + " replaced", done > 400 * 30 && replaced > 400 / 2);
+  }
+
+  /** Guards the checks: a set that follows at once, whose majorities do not meet those of the one before. */
+  @Test
+  public void swappingTwoAtOnceIsCaught() {
+    assertNotNull(firstBroken(4_000, new Maker() {
+      @Override
+      public Succession succession(Voters known, String comes, String leaves, long until, Succession.Outbox out) {
+        return new Succession(known, comes, leaves, until, out) {
+          @Override
+          protected Voters step() {
+            Voters both = super.step();
+            Voters after = both.withoutLeaving();
+            return new Voters(both.epoch(), after.keys(), "", both.former());
+          }
+        };
+      }
+    }));
+  }
+
+  /** Guards the checks: one that lets a voter go before what it alone may hold is carried over. */
+  @Test
+  public void notCarryingOverIsCaught() {
+    assertNotNull(firstBroken(4_000, new Maker() {
+      @Override
+      public Succession succession(Voters known, String comes, String leaves, long until, Succession.Outbox out) {
+        return new Succession(known, comes, leaves, until, out) {
+          @Override
+          protected boolean carriesOver() {
+            return false;
+          }
+        };
+      }
+    }));
+  }
+
+  /** Guards the checks: voters that answer questions of sets that were replaced. */
+  @Test
+  public void answeringOldSetsIsCaught() {
+    assertNotNull(firstBroken(4_000, new Maker() {
+      @Override
+      public Seat seat(Map<String, Voter.Slot> synced) {
+        return new Seat(synced, 16) {
+          @Override
+          protected boolean isOld(long epoch) {
+            return false;
+          }
+
+          @Override
+          public Voter.Step handle(long epoch, Message m) {
+            return super.handle(m instanceof Message.Install ? epoch : taken().epoch(), m);
+          }
+        };
+      }
+    }));
+  }
+}
