Duties by lease in the front end: carrier, voters' commands, a beacon and one prober for each hall

Change: registers over the fleet's listener (datagrams, connections for what is larger), a voter's folder beside the loop with many answers in one sync, candidates' turns, fences read from the register after a start, duties probe/HALL and beacon, section leases, commands leases, register, voters. Found by process tests and mended: a founding asked twice made two folders; front ends with stale counts of duties each left a free duty to others (11 s without a holder, now everybody takes it in turn); hints before the start.

--- a/src/main/java/saddlestall/Choice.java
+++ b/src/main/java/saddlestall/Choice.java
@@ -78,7 +78,6 @@
   private static final int HALL_FAILS = 3; // silent or unreachable workers that bench a whole hall
   private static final long FULL_WAIT_MOST = 2 * SECOND;
   private static final double FULL_PRESSURE = 2; // what being turned away counts as, in time over aim
-  private static final long TRIAL_WAIT = SECOND;
   private static final long TRIAL_WAIT_MOST = 8 * SECOND;
 
   // Further attempts, cold workers, admission.
--- a/src/main/java/saddlestall/Memory.java
+++ b/src/main/java/saddlestall/Memory.java
@@ -23,6 +23,8 @@
 abstract class Memory {
   /** Halls told apart; further ones share a place. */
   private static final int HALLS = 32;
+  /** A benched worker or hall is not tried again sooner. */
+  static final long TRIAL_WAIT = 1_000_000;
 
   final Map<Integer, Worker> workers = new LinkedHashMap<>();
   final Map<Long, Function> functions = new LinkedHashMap<>(64, 0.75f, true);
@@ -163,9 +165,20 @@
       }
     } else if (known instanceof KnownWorker e) {
       Worker w = workers.get(e.worker());
-      if (w != null && w.state == State.READY && w.pace == 1 && w.bad == 0 && w.out.isEmpty()) {
-        w.pace += e.weight() * (clamp(e.pace(), 0.2, 6) - 1);
-        w.bad = e.weight() * clamp(e.bad(), 0, 1);
+      boolean fresh = w != null && w.pace == 1 && w.bad == 0 && w.out.isEmpty();
+      if (w == null || w.state != State.READY || !fresh && now - e.age() <= Math.max(w.wellAt, w.lostAt)) {
+        return; // what was seen here later wins
+      }
+      boolean back = w.toldBad && e.bad() < 0.5;
+      w.toldBad = e.bad() >= 0.5;
+      if (w.benched) { // whether it is back is asked by one for all: here a call tries it once it answers, and not before
+        w.trialAt = back ? now : w.toldBad ? Math.max(w.trialAt, now + TRIAL_WAIT) : w.trialAt;
+        hallTrialAt[hall(w)] = back ? now : w.toldBad ? Math.max(hallTrialAt[hall(w)], now + TRIAL_WAIT) : hallTrialAt[hall(w)];
+      } else if (fresh || e.bad() >= 0.5) {
+        w.bad = Math.max(w.bad, e.weight() * clamp(e.bad(), 0, 1));
+      }
+      if (fresh || e.pace() > 1) {
+        w.pace = fresh || e.pace() > w.pace ? w.pace + e.weight() * (clamp(e.pace(), 0.2, 6) - w.pace) : w.pace;
       }
     } else if (known instanceof KnownFunction e && e.callClass() >= 0 && e.callClass() < classWork.length) {
       Function f = functions.computeIfAbsent(e.function(), Function::new);
@@ -268,6 +281,8 @@
     final long[] fullUntil;
     final long[] fullWait;
     long trialAt;
+    /** Others say that it does not answer. */
+    boolean toldBad;
     long trialWait;
     double coldBudget;
 
--- a/src/main/java/umberrun/Server.java
+++ b/src/main/java/umberrun/Server.java
@@ -29,6 +29,7 @@
 import umberrun.handover.Handover;
 import umberrun.learning.net.Learning;
 import umberrun.learning.net.PeerServer;
+import umberrun.lease.net.LeasePart;
 import umberrun.ops.Door;
 import umberrun.roll.ChangeLog;
 import umberrun.roll.Consul;
@@ -67,6 +68,7 @@
   private Handover handover;
   private Consul consul;
   private FleetPart fleet;
+  private LeasePart leases;
   private long letGoTimer = -1;
   private volatile boolean fit;
   private Future<Void> learned = Future.succeededFuture();
@@ -196,6 +198,10 @@
         file.learning() == null ? "" : file.learning().listen().toString(),
         config.door() == null ? "" : config.door().toString(), config.settings().siblings(), config.seed()),
         duty::state, Server::log);
+    if (file.leases() != null) {
+      leases = new LeasePart(vertx, clock, owner, counters, file.leases(), fleet, file.fleet().name(), config.names().zones(),
+          zone < config.names().zones().size() ? config.names().zones().get(zone) : "", config.seed(), duty::state, Server::log);
+    }
     fleet.start(consul == null || !file.fleet().consul() ? null : consul);
   }
 
@@ -372,8 +378,9 @@
     fit = duty.isFit();
     rolls.forEach(Roll::leave);
     letGo();
-    if (fleet != null && succeeded) {
-      fleet.leave(true);
+    Future<Void> given = leases == null ? Future.succeededFuture() : leases.leave();
+    if (fleet != null && succeeded) { // the successor waits for the listener and for the voter's folder
+      given.compose(v -> leases == null ? Future.succeededFuture() : leases.close()).onComplete(v -> fleet.leave(true));
     }
     if (succeeded) {
       transport.stopListening(rpcPort);
--- a/src/main/java/umberrun/agreement/Message.java
+++ b/src/main/java/umberrun/agreement/Message.java
@@ -41,4 +41,22 @@
   record ListNames(long op) implements Message { }
 
   record Names(long op, List<String> names) implements Message { }
+
+  /**
+   * Asks a front end for its place among the voters.
+   *
+   * @param make whether it is to make a folder, where it holds on to none
+   * @param asOf the newest set that whoever asks knows
+   * @param names of the first set, in order, where there is no set yet; its own file must have the same
+   */
+  record AskSeat(long op, boolean make, Voters asOf, List<String> names) implements Message { }
+
+  /**
+   * What it has.
+   *
+   * @param key empty where it has no folder that it can vote on
+   * @param known the newest set that it knows
+   * @param fault why it has no folder, or would not make one
+   */
+  record SeatIs(long op, String key, Voters known, String fault) implements Message { }
 }
--- a/src/main/java/umberrun/agreement/Seat.java
+++ b/src/main/java/umberrun/agreement/Seat.java
@@ -64,7 +64,7 @@
   /** Answers a question of an epoch; as with {@link Voter#handle}, what the step holds is synced before the answer leaves. */
   public Step handle(long epoch, Message m) {
     if (m instanceof Install i) {
-      if (i.voters().epoch() < taken.epoch()) {
+      if (i.voters().epoch() < taken.epoch() || i.voters().epoch() == taken.epoch() && !i.voters().equals(taken)) {
         return outdated(m);
       }
       boolean news = i.voters().epoch() > taken.epoch();
--- a/src/main/java/umberrun/agreement/disk/VoterFolder.java
+++ b/src/main/java/umberrun/agreement/disk/VoterFolder.java
@@ -62,7 +62,7 @@
   /** Makes the folder of a voter that never voted; one that is there already is left as it is. */
   public static void create(Path folder, String owner) throws IOException, Unfit {
     Files.createDirectories(folder);
-    if (Files.exists(folder.resolve(STORE)) || Files.exists(folder.resolve(SEAL))) {
+    if (isThere(folder)) {
       throw new Unfit(folder + " has a voter's memory already");
     }
     try (VoterFolder f = new VoterFolder(locked(folder), open(folder), sealOf(folder, true))) {
@@ -74,7 +74,25 @@
     }
   }
 
-  /** Opens what a voter has promised; {@code owner} is its name and its fleet's. */
+  /** Whether anything of a memory is there, fit or not. */
+  public static boolean isThere(Path folder) {
+    return Files.exists(folder.resolve(STORE)) || Files.exists(folder.resolve(SEAL));
+  }
+
+  /** Puts a memory that can't be voted on out of the way, for one that is made anew; nothing is deleted. */
+  public static void setAside(Path folder) throws IOException {
+    for (String name : List.of(STORE, SEAL)) {
+      Path file = folder.resolve(name);
+      for (int i = 1; Files.exists(file); i++) {
+        Path aside = folder.resolve(name + ".unfit-" + i);
+        if (!Files.exists(aside)) {
+          Files.move(file, aside);
+        }
+      }
+    }
+  }
+
+  /** Opens what a voter has promised; {@code owner} is its fleet's and its name, behind which its folder's id may stand. */
   public static VoterFolder open(Path folder, String owner) throws Unfit {
     if (!Files.exists(folder.resolve(STORE)) || !Files.exists(folder.resolve(SEAL))) {
       throw new Unfit(folder + " has no voter's memory: it is lost, or was never made");
@@ -132,7 +150,7 @@
 
   private void check(Path folder, String owner) throws IOException, Unfit {
     String of = head.get(OWNER);
-    if (!owner.equals(of)) {
+    if (of == null || !of.equals(owner) && !of.startsWith(owner + "#")) {
       throw new Unfit(folder + " is the memory of " + (of == null ? "nobody" : of) + ", not of " + owner);
     }
     count = Long.parseLong(head.get(COUNT));
@@ -153,6 +171,11 @@
     return crc.getValue();
   }
 
+  /** Whose memory it is, with the folder's id. */
+  public String owner() {
+    return head.get(OWNER);
+  }
+
   /** What was synced. */
   public Map<String, Slot> slots() {
     Map<String, Slot> all = new TreeMap<>();
--- a/src/main/java/umberrun/cli/FleetCommand.java
+++ b/src/main/java/umberrun/cli/FleetCommand.java
@@ -31,13 +31,26 @@
     private String address;
 
     JsonObject ask(Frame.Kind kind) throws IOException {
+      return ask(kind, "");
+    }
+
+    /** Calls a part of a member that uses the fleet's listener; its no is an exception. */
+    JsonObject call(String words) throws IOException {
+      JsonObject o = ask(Frame.Kind.CALL, words);
+      if (o.has("fault")) {
+        throw new IOException(o.get("fault").getAsString());
+      }
+      return o;
+    }
+
+    private JsonObject ask(Frame.Kind kind, String words) throws IOException {
       int colon = address == null ? -1 : address.lastIndexOf(':');
       if (colon <= 0) {
         throw new IOException("an address of the form host:port is needed");
       }
       try {
         return JsonParser.parseString(FleetClient.ask(address.substring(0, colon),
-            Integer.parseInt(address.substring(colon + 1)), kind)).getAsJsonObject();
+            Integer.parseInt(address.substring(colon + 1)), kind, words)).getAsJsonObject();
       } catch (IllegalArgumentException | IllegalStateException | JsonParseException e) {
         throw new IOException(e.getMessage(), e);
       }
@@ -106,11 +119,11 @@
     }
   }
 
-  private static String text(JsonObject o, String key) {
+  static String text(JsonObject o, String key) {
     return o.has(key) ? o.get(key).getAsString() : "-";
   }
 
-  private static String seconds(JsonObject o, String key) {
+  static String seconds(JsonObject o, String key) {
     return o.has(key) && o.get(key).getAsLong() >= 0 ? String.format("%.1f", o.get(key).getAsLong() / 1e3) : "-";
   }
 
--- a/src/main/java/umberrun/config/Config.java
+++ b/src/main/java/umberrun/config/Config.java
@@ -75,6 +75,9 @@
           changelog.isEmpty() ? null : address(changelog, "changelog"), object(o, "known"),
           SettingsJson.read(settings.toString()), names, door.isEmpty() ? null : address(door, "operator"), file);
       config.account();
+      if (file != null && file.leases() != null) {
+        file.leases().check(name);
+      }
       return config;
     } catch (IllegalStateException | NumberFormatException | ClassCastException
         | UnsupportedOperationException e) { // a field of another type than it should have
@@ -86,7 +89,8 @@
   public Account account() throws BadConfig {
     try {
       return new Account(sockets, file != null && file.invoke() != null, door != null,
-          file == null ? 0 : (file.learning() != null ? 1 : 0) + (file.fleet() != null ? 1 : 0));
+          file == null ? 0 : (file.learning() != null ? 1 : 0) + (file.fleet() != null ? 1 : 0)
+              + (file.leases() != null ? 1 : 0));
     } catch (Account.TooFew e) {
       throw new BadConfig(e.getMessage());
     }
--- a/src/main/java/umberrun/config/OperatorFile.java
+++ b/src/main/java/umberrun/config/OperatorFile.java
@@ -9,9 +9,9 @@
 import umberrun.core.Invocations.Bounds;
 import umberrun.learning.net.Learning;
 
-/** The operator's own file: whether and where the invoke API listens, which Consul it works with, whom to learn from, which fleet it is of. */
+/** The operator's own file: whether and where the invoke API listens, which Consul it works with, whom to learn from, which fleet it is of, which duties there are. */
 public record OperatorFile(SocketAddress invoke, Bounds deferred, Consul consul, Learning.Settings learning,
-    FleetOptions fleet) {
+    FleetOptions fleet, LeaseOptions leases) {
 
   /** The agent, the name that we register under, and the name whose instances are our workers (or empty). */
   public record Consul(SocketAddress agent, String service, String workers, long waitMillis) { }
@@ -28,6 +28,7 @@
     if (consul.has("agent") && !invoke.has("listen")) {
       throw new BadConfig("consul needs invoke.listen: the check that is registered lies there");
     }
+    FleetOptions fleet = fleet(o, consul);
     return new OperatorFile(
         invoke.has("listen") ? Config.address(invoke.get("listen").getAsString(), "invoke.listen") : null,
         new Bounds((int) figure(deferred, "queue", 1_000), (int) figure(deferred, "in_hand", 64),
@@ -36,7 +37,8 @@
         consul.has("agent") ? new Consul(Config.address(consul.get("agent").getAsString(), "consul.agent"),
             consul.has("service") ? consul.get("service").getAsString() : "umberrun",
             consul.has("workers") ? consul.get("workers").getAsString() : "",
-            figure(consul, "wait_ms", 30_000)) : null, learning(part(o, "learning")), fleet(o, consul));
+            figure(consul, "wait_ms", 30_000)) : null, learning(part(o, "learning")), fleet,
+        o.has("leases") ? LeaseOptions.read(part(o, "leases"), fleet) : null);
   }
 
   /** Null where it is off. Whoever asks others is to be asked too, so that there is somebody to ask. */
--- a/src/main/java/umberrun/core/Owner.java
+++ b/src/main/java/umberrun/core/Owner.java
@@ -16,6 +16,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import java.util.function.Function;
 import saddlestall.Dispatcher;
@@ -359,6 +360,35 @@
     tell(new Probed(clock.now() - p.askedAt, p.worker(), code, report));
   }
 
+  /**
+   * Asks a worker how it is for others than the module; {@code then} is told whether it answered, and after how long. One that is
+   * not on the list, drains or is out is not asked.
+   */
+  public void ask(String worker, BiConsumer<Boolean, Long> then) {
+    post(() -> {
+      Roster.Entry entry = roster.find(worker);
+      if (entry == null || standing(entry).state() != State.READY) {
+        then.accept(false, 0L);
+        return;
+      }
+      long asked = clock.now();
+      counters.add(Count.PROBES_SENT);
+      workers.probe(new Probing(this, entry.id(), asked, code -> then.accept(code == Code.OK, clock.now() - asked)));
+    });
+  }
+
+  /** Names of the workers of a hall (all halls with -1) that may get work, in order. */
+  public List<String> ready(int zone) {
+    List<String> names = new ArrayList<>();
+    for (Roster.Entry e : roster.all()) {
+      if ((zone < 0 || e.endpoint().zone() == zone) && standing(e).state() == State.READY) {
+        names.add(e.endpoint().name());
+      }
+    }
+    names.sort(null);
+    return names;
+  }
+
   private Buffer spelling(long function) {
     Buffer known = functions.get(function);
     return known != null ? known : Buffer.buffer(String.format("%016x", function));
--- a/src/main/java/umberrun/core/Probing.java
+++ b/src/main/java/umberrun/core/Probing.java
@@ -1,5 +1,6 @@
 package umberrun.core;
 
+import java.util.function.Consumer;
 import saddlestall.Dispatcher.Code;
 
 /** One probe of a worker; ends once. */
@@ -7,12 +8,19 @@
   private final Owner owner;
   private final int worker;
   final long askedAt;
+  private final Consumer<Code> then;
   private boolean ended;
 
   Probing(Owner owner, int worker, long askedAt) {
+    this(owner, worker, askedAt, null);
+  }
+
+  /** @param then is told of the end in the place of the module, or null */
+  Probing(Owner owner, int worker, long askedAt, Consumer<Code> then) {
     this.owner = owner;
     this.worker = worker;
     this.askedAt = askedAt;
+    this.then = then;
   }
 
   public int worker() {
@@ -23,7 +31,13 @@
   public void end(Code code, float[] report) {
     if (!ended) {
       ended = true;
-      owner.post(() -> owner.probed(this, code, report));
+      owner.post(() -> {
+        if (then != null) {
+          then.accept(code);
+        } else {
+          owner.probed(this, code, report);
+        }
+      });
     }
   }
 }
--- a/src/main/java/umberrun/fleet/net/Carrier.java
+++ b/src/main/java/umberrun/fleet/net/Carrier.java
@@ -1,5 +1,6 @@
 package umberrun.fleet.net;
 
+import com.google.gson.JsonPrimitive;
 import io.netty.channel.ConnectTimeoutException;
 import io.netty.util.NetUtil;
 import io.vertx.core.Future;
@@ -26,6 +27,7 @@
 import umberrun.fleet.Claim;
 import umberrun.fleet.Message;
 import umberrun.fleet.net.Codec.Frame;
+import umberrun.fleet.net.Codec.Parcel;
 import umberrun.fleet.net.Codec.Unusable;
 import umberrun.stats.Counters;
 import umberrun.stats.Counters.Count;
@@ -50,6 +52,12 @@
 
     /** An operator has this member leave. */
     String leave();
+
+    /** A parcel came for a part that uses the listener. */
+    void parcel(Parcel p);
+
+    /** An operator calls such a part; its answer comes soon. */
+    Future<String> call(String words);
   }
 
   /** The exchange did not come about; {@code refused} where the machine answers and nobody listens. */
@@ -129,13 +137,44 @@
         .onFailure(e -> counters.add(Count.FLEET_PACKETS_DROPPED)); // as if lost on the way
   }
 
+  /** Sends a parcel: as a datagram where it fits one. Where it is lost, nobody is told. */
+  void send(String address, Parcel p) {
+    byte[] bytes = codec.encode(p);
+    SocketAddress to = way(address);
+    if (to == null || packetsOut.take(1, clock.now()) > 0 || bytesOut.take(bytes.length, clock.now()) > 0) {
+      counters.add(Count.FLEET_PACKETS_DROPPED);
+    } else if (bytes.length <= Codec.MOST_DATAGRAM) {
+      counters.add(Count.FLEET_PACKETS_SENT);
+      datagrams.send(Buffer.buffer(bytes), to.port(), to.host()).onFailure(e -> counters.add(Count.FLEET_PACKETS_DROPPED));
+    } else if (bytes.length <= Codec.MOST_FRAME && account.open(Use.PEERS)) {
+      client.connect(to).onFailure(e -> account.close(Use.PEERS)).onSuccess(socket -> {
+        long timer = vertx.setTimer(EXCHANGE_MILLIS, t -> socket.close()); // guards the place against one that does not read
+        socket.exceptionHandler(e -> socket.close());
+        socket.closeHandler(v -> {
+          vertx.cancelTimer(timer);
+          account.close(Use.PEERS);
+        });
+        Frames.send(socket, bytes).onSuccess(v -> socket.close());
+      });
+    } else {
+      counters.add(Count.FLEET_PACKETS_DROPPED);
+    }
+  }
+
   private void datagram(DatagramPacket p) {
     if (packetsIn.take(1, clock.now()) > 0 || bytesIn.take(p.data().length(), clock.now()) > 0) {
       counters.add(Count.FLEET_PACKETS_DROPPED);
       return;
     }
     try {
-      Message m = codec.message(p.data().getBytes());
+      byte[] bytes = p.data().getBytes();
+      Parcel parcel = codec.parcel(bytes);
+      if (parcel != null) {
+        counters.add(Count.FLEET_PACKETS_TAKEN);
+        hearer.parcel(parcel);
+        return;
+      }
+      Message m = codec.message(bytes);
       counters.add(Count.FLEET_PACKETS_TAKEN);
       hearer.receive(m);
     } catch (Unusable e) {
@@ -180,7 +219,7 @@
     }).onSuccess(socket -> {
       long timer = vertx.setTimer(EXCHANGE_MILLIS, t -> socket.close());
       List<Claim> theirs = new ArrayList<>();
-      Frames frames = new Frames(codec, socket, f -> {
+      Frames frames = new Frames(codec, socket, p -> { }, f -> {
         if (collected(theirs, f)) {
           told.tryComplete(theirs);
           socket.close();
@@ -221,9 +260,12 @@
     });
     List<Claim> theirs = new ArrayList<>();
     Frames[] self = new Frames[1];
-    self[0] = new Frames(codec, socket, f -> {
+    self[0] = new Frames(codec, socket, hearer::parcel, f -> {
       if (!hearer.hasTime() && f.kind() == Frame.Kind.SYNC) {
         socket.close();
+      } else if (f.kind() == Frame.Kind.CALL) {
+        hearer.call(f.text()).onComplete(text -> self[0].send(f.kind(), text), e -> self[0].send(f.kind(), "{\"fault\":"
+            + new JsonPrimitive(String.valueOf(e.getMessage())) + "}"));
       } else if (f.kind() != Frame.Kind.SYNC) {
         self[0].send(f.kind(), f.kind() == Frame.Kind.VIEW ? hearer.view() : hearer.leave());
       } else if (collected(theirs, f)) {
--- a/src/main/java/umberrun/fleet/net/Codec.java
+++ b/src/main/java/umberrun/fleet/net/Codec.java
@@ -31,12 +31,21 @@
 
   /** A piece of a full exchange, or an operator's call and its answer. */
   public record Frame(Kind kind, boolean last, List<Claim> claims, String text) {
-    /** What a frame is for. */
-    public enum Kind { SYNC, VIEW, LEAVE }
+    /** What a frame is for. CALL is an operator's call of a part that uses the fleet's listener. */
+    public enum Kind { SYNC, VIEW, LEAVE, CALL }
   }
 
+  /**
+   * What one member sends another for a part that uses the fleet's listener.
+   *
+   * @param topic the part
+   * @param to its name: whoever has the address now may be another
+   * @param address where the sender hears answers
+   */
+  public record Parcel(String topic, String to, String from, String address, byte[] body) { }
+
   public static final int MOST_DATAGRAM = 1_400;
-  public static final int MOST_FRAME = 64 << 10;
+  public static final int MOST_FRAME = 80 << 10;
   /** Claims in a frame: a claim is shorter than 512 bytes, as the names in it are bounded. */
   static final int CLAIMS_A_FRAME = 100;
   /** Characters in a name or address. */
@@ -46,6 +55,9 @@
   private static final int ABOUT_FIELDS = 8;
   private static final int DATAGRAM_FIELDS = 8;
   private static final int FRAME_FIELDS = 6;
+  private static final int PARCEL_FIELDS = 8;
+  /** Where a message and a frame have their kind. */
+  private static final int PARCEL = 64;
   private static final int MOST_CLAIMS = 256;
   /** Guards the arithmetic of lives and incarnations against a liar. */
   private static final long MOST_NUMBER = 1L << 52;
@@ -93,6 +105,17 @@
     }
   }
 
+  /** A datagram's or frame's content. */
+  public byte[] encode(Parcel p) {
+    try (MessageBufferPacker out = head(PARCEL_FIELDS)) {
+      out.packInt(PARCEL).packString(p.topic).packString(p.to).packString(p.from).packString(p.address)
+          .packBinaryHeader(p.body.length).writePayload(p.body);
+      return out.toByteArray();
+    } catch (IOException e) {
+      throw new IllegalStateException(e); // a buffer in memory
+    }
+  }
+
   private MessageBufferPacker head(int fields) throws IOException {
     MessageBufferPacker out = MessagePack.newDefaultBufferPacker();
     out.packArrayHeader(fields).packByte((byte) VERSION).packString(fleet);
@@ -151,6 +174,23 @@
     }
   }
 
+  /** A parcel, or null where the bytes are something else. */
+  public Parcel parcel(byte[] bytes) throws Unusable {
+    try (MessageUnpacker in = MessagePack.newDefaultUnpacker(bytes)) {
+      int fields = in.unpackArrayHeader();
+      known(in, true);
+      if (in.unpackInt() != PARCEL) {
+        return null;
+      }
+      int extra = extra(fields, PARCEL_FIELDS);
+      Parcel p = new Parcel(text(in), text(in), text(in), text(in), in.readPayload(in.unpackBinaryHeader()));
+      in.skipValue(extra);
+      return p;
+    } catch (IOException | MessagePackException | IllegalArgumentException e) {
+      throw new Unusable(e.toString(), false);
+    }
+  }
+
   /** Whether a member wrote it; an operator may have where that is allowed. */
   private boolean known(MessageUnpacker in, boolean operators) throws IOException, Unusable {
     int version = in.unpackInt();
--- a/src/main/java/umberrun/fleet/net/FleetClient.java
+++ b/src/main/java/umberrun/fleet/net/FleetClient.java
@@ -17,11 +17,16 @@
 
   /** What a member answers, as JSON. */
   public static String ask(String host, int port, Frame.Kind kind) throws IOException {
+    return ask(host, port, kind, "");
+  }
+
+  /** The same with words, as parts that use the fleet's listener want them. */
+  public static String ask(String host, int port, Frame.Kind kind, String words) throws IOException {
     Codec codec = new Codec("");
     try (Socket socket = new Socket()) {
       socket.setSoTimeout(PATIENCE_MILLIS);
       socket.connect(new InetSocketAddress(host, port), PATIENCE_MILLIS);
-      byte[] asked = codec.encode(new Frame(kind, true, List.of(), ""));
+      byte[] asked = codec.encode(new Frame(kind, true, List.of(), words));
       DataOutputStream out = new DataOutputStream(socket.getOutputStream());
       out.writeInt(asked.length);
       out.write(asked);
--- a/src/main/java/umberrun/fleet/net/FleetPart.java
+++ b/src/main/java/umberrun/fleet/net/FleetPart.java
@@ -7,6 +7,7 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.net.SocketAddress;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.Collections;
 import java.util.Comparator;
 import java.util.HashMap;
@@ -62,6 +63,7 @@
   private static final double TRAFFIC_CHANGE = 0.25;
   private static final long SEEDS_MILLIS = 5_000;
   private static final long MEET_MILLIS = 300;
+  private static final int MOST_ADDRESSES = 256;
   private static final long MS = 1_000;
 
   private final Vertx vertx;
@@ -75,6 +77,16 @@
   private final Journal journal = new Journal("fleet");
   private final Carrier carrier;
   private final Map<Timer, Long> timers = new HashMap<>();
+  private final Map<String, Guest> guests = new LinkedHashMap<>();
+  /** Where parcels came from lately: a view that does not know a member is no reason not to answer it. */
+  private final Map<String, String> addresses = new LinkedHashMap<>(16, 0.75f, true) {
+    private static final long serialVersionUID = 1;
+
+    @Override
+    protected boolean removeEldestEntry(Map.Entry<String, String> eldest) {
+      return size() > MOST_ADDRESSES;
+    }
+  };
   private final Promise<Void> met = Promise.promise();
   private final Random random;
   private Consul consul;
@@ -87,6 +99,18 @@
   private long takenBefore;
   private long trafficAt;
 
+  /** A part that uses the fleet's listener. */
+  public interface Guest {
+    /** A parcel came from a member, or from who says so. */
+    void parcel(String from, byte[] body);
+
+    /** An operator's call: the words behind the topic. */
+    Future<String> call(List<String> words);
+
+    /** The listener is open, or the view has changed. */
+    void changed();
+  }
+
   /** @param state how far this front end is with serving clients */
   public FleetPart(Vertx vertx, Owner owner, Clock clock, Counters counters, Account account, FleetOptions options,
       Identity identity, Supplier<Duty.State> state, Consumer<String> log) {
@@ -142,6 +166,7 @@
     log.accept("fleet: member " + identity.name() + " of " + options.name() + " listens on " + advertised);
     refresh();
     beat();
+    guests.values().forEach(Guest::changed);
     if (consul != null) {
       consul.announce(advertised);
       look();
@@ -265,8 +290,72 @@
     }
   }
 
+  // ---------------------------------------------------------------- parts that use the listener
+
+  /** Takes in what comes for a topic from now on. */
+  public void host(String topic, Guest guest) {
+    guests.put(topic, guest);
+  }
+
+  /** Whether the listener is open and this member speaks. */
+  public boolean isOpen() {
+    return membership != null && !over;
+  }
+
+  /** Sends to a member by name; where nobody knows its address, or it is lost, nothing comes of it. */
+  public void post(String topic, String member, byte[] body) {
+    if (!isOpen()) {
+      return;
+    }
+    if (member.equals(identity.name())) {
+      vertx.runOnContext(v -> deliver(topic, member, body));
+      return;
+    }
+    String address = membership.peers().stream().filter(p -> p.claim().name().equals(member)).map(p -> p.claim().about().address())
+        .findFirst().orElse(addresses.get(member));
+    if (address != null) {
+      carrier.send(address, new Codec.Parcel(topic, member, identity.name(), advertised, body));
+    }
+  }
+
+  private void deliver(String topic, String from, byte[] body) {
+    Guest guest = guests.get(topic);
+    if (guest != null && !over) {
+      guest.parcel(from, body);
+    }
+  }
+
+  /** All other members, the dead included. */
+  public Collection<Peer> peers() {
+    return isOpen() ? membership.peers() : List.of();
+  }
+
+  public String name() {
+    return identity.name();
+  }
+
+  public boolean hasYielded() {
+    return isOpen() && membership.hasYielded();
+  }
+
   // ---------------------------------------------------------------- what the carrier brings
 
+  @Override
+  public void parcel(Codec.Parcel p) {
+    if (p.to().equals(identity.name())) {
+      addresses.put(p.from(), p.address());
+      deliver(p.topic(), p.from(), p.body());
+    }
+  }
+
+  @Override
+  public Future<String> call(String words) {
+    List<String> all = List.of(words.trim().split("\\s+"));
+    Guest guest = guests.get(all.get(0));
+    return guest == null ? Future.failedFuture("'" + all.get(0) + "' is not switched on here")
+        : guest.call(all.subList(1, all.size()));
+  }
+
   @Override
   public void receive(Message m) {
     if (!over) {
@@ -400,6 +489,7 @@
     vertx.runOnContext(v -> {
       if (!over) {
         refresh(); // once the message that changed it is worked off
+        guests.values().forEach(Guest::changed);
       }
     });
   }
--- a/src/main/java/umberrun/fleet/net/Frames.java
+++ b/src/main/java/umberrun/fleet/net/Frames.java
@@ -9,6 +9,7 @@
 import java.util.function.Consumer;
 import umberrun.fleet.Claim;
 import umberrun.fleet.net.Codec.Frame;
+import umberrun.fleet.net.Codec.Parcel;
 import umberrun.fleet.net.Codec.Unusable;
 
 /** Frames on one connection: four bytes of length and the content. A long list goes out piece by piece, each when the last is written. */
@@ -20,10 +21,11 @@
   private final NetSocket socket;
 
   /**
+   * @param parcel takes each parcel
    * @param frame takes each frame
    * @param wrong is told why the connection can't go on; it is closed by then
    */
-  Frames(Codec codec, NetSocket socket, Consumer<Frame> frame, Consumer<Unusable> wrong) {
+  Frames(Codec codec, NetSocket socket, Consumer<Parcel> parcel, Consumer<Frame> frame, Consumer<Unusable> wrong) {
     this.codec = codec;
     this.socket = socket;
     RecordParser parser = RecordParser.newFixed(LENGTH_BYTES);
@@ -33,7 +35,13 @@
         if (inside[0]) {
           inside[0] = false;
           parser.fixedSizeMode(LENGTH_BYTES);
-          frame.accept(codec.frame(piece.getBytes()));
+          byte[] content = piece.getBytes();
+          Parcel p = codec.parcel(content);
+          if (p != null) {
+            parcel.accept(p);
+          } else {
+            frame.accept(codec.frame(content));
+          }
           return;
         }
         int length = piece.getInt(0);
@@ -51,7 +59,10 @@
   }
 
   Future<Void> send(Frame f) {
-    byte[] content = codec.encode(f);
+    return send(socket, codec.encode(f));
+  }
+
+  static Future<Void> send(NetSocket socket, byte[] content) {
     return socket.write(Buffer.buffer(LENGTH_BYTES + content.length).appendInt(content.length).appendBytes(content));
   }
 
--- a/src/main/java/umberrun/lease/Claimant.java
+++ b/src/main/java/umberrun/lease/Claimant.java
@@ -36,6 +36,8 @@
   }
 
   private static final int RENEW_PART = 3;
+  /** Lengths between two looks of one that does not watch: it takes what nobody takes all the same. */
+  private static final int FAR = 3;
 
   private final Settings settings;
   private final String name;
@@ -46,6 +48,9 @@
   private long seenAt;
   private boolean known;
   private boolean fit = true;
+  private boolean close = true;
+  private long delay;
+  private long freeSince;
   private boolean asking;
   private long askedAt;
   /** Whether the change that was asked for last made a new version at its last try. */
@@ -63,7 +68,9 @@
 
   /** Begins to watch. */
   public void start(long now) {
-    watch(now);
+    if (!asking) {
+      watch(now);
+    }
   }
 
   /** Whether this front end should have the duty; one that should not gives it back. */
@@ -76,6 +83,53 @@
     }
   }
 
+  /**
+   * How this front end stands for the duty while it does not hold it.
+   *
+   * @param close whether it watches for the duty to be free; others look now and then
+   * @param delay waited once it is free, so that those who are to have it before this one come first
+   */
+  public void standing(long now, boolean close, long delay) {
+    boolean comes = close && !this.close;
+    this.close = close;
+    this.delay = delay;
+    if (comes && known) {
+      look(now);
+    }
+  }
+
+  /** Somebody says that the duty may be free: it is looked at now, and taken only where that is so. */
+  public void look(long now) {
+    if (!asking && fence < 0) {
+      watch(now);
+    }
+  }
+
+  /** What the register was seen to hold last. */
+  public Lease seen() {
+    return Lease.read(seen);
+  }
+
+  /** Whether it was seen at all. */
+  public boolean isKnown() {
+    return known;
+  }
+
+  /** When that version was seen first. */
+  public long seenAt() {
+    return seenAt;
+  }
+
+  /** For how long nobody had the duty before this one took it, as far as it knows. */
+  public long gap(long now) {
+    return Math.max(0, now - freeSince);
+  }
+
+  /** For how long it still holds without a renewal. */
+  public long left(long now) {
+    return fence >= 0 ? Math.max(0, holdsUntil - now) : 0;
+  }
+
   /** The fence under which it may act at this moment, or -1. To be asked at the moment of each act. */
   public long mayAct(long now) {
     return fence >= 0 && now < holdsUntil ? fence : -1;
@@ -95,13 +149,18 @@
       ask(now, UnaryOperator.identity()); // the same under the next version
     } else if (l.isOf(name, startId) && !fit) {
       ask(now, held -> new Lease("", 0, held.fence(), 0));
-    } else if (fit && known && (!l.isHeld() || l.isOf(name, startId) || now >= freeAt(l))) {
+    } else if (fit && known && (l.isOf(name, startId) || now >= takeAt(l))) {
+      freeSince = l.isHeld() ? seenAt + l.length() : seenAt;
       ask(now, this::taken);
     } else {
       watch(now);
     }
   }
 
+  private long takeAt(Lease l) {
+    return (l.isHeld() ? freeAt(l) : seenAt) + delay;
+  }
+
   /** From when on the version that was seen is surely no longer held. */
   protected long freeAt(Lease l) {
     return seenAt + (long) (l.length() * (1 + settings.rate())) + settings.pause();
@@ -177,9 +236,8 @@
         fence = -1;
         out.hands(-1, "another holds it");
       }
-      long free = l.isHeld() ? freeAt(l) : now;
-      long most = settings.length() / RENEW_PART;
-      rest(now, Math.max(1_000, Math.min(most, free - now)) / 2);
+      long most = close ? settings.length() / RENEW_PART : FAR * settings.length();
+      rest(now, close ? Math.max(1_000, Math.min(most, takeAt(l) - now)) / 2 : most);
     }
   }
 
--- a/src/main/java/umberrun/lease/Lease.java
+++ b/src/main/java/umberrun/lease/Lease.java
@@ -30,7 +30,8 @@
     return !holder.isEmpty();
   }
 
-  boolean isOf(String name, long id) {
+  /** Whether this process of a front end has it. */
+  public boolean isOf(String name, long id) {
     return holder.equals(name) && startId == id;
   }
 }
--- /dev/null
+++ b/src/main/java/umberrun/lease/net/HallProber.java
@@ -0,0 +1,85 @@
+package umberrun.lease.net;
+
+import io.vertx.core.Vertx;
+import java.util.List;
+import java.util.function.LongSupplier;
+import java.util.function.ObjLongConsumer;
+import umberrun.core.Clock;
+import umberrun.core.Owner;
+import umberrun.lease.HallWatch;
+import umberrun.lease.HallWatch.Reading;
+import umberrun.stats.Counters;
+import umberrun.stats.Counters.Count;
+
+/** The duty {@code probe/HALL}: its holder asks the hall's workers how they are, and tells all front ends what it finds. */
+final class HallProber implements HeldDuty.Work {
+  /** What has not changed is told this seldom. */
+  private static final long ALL_MICROS = 2_000_000;
+  private static final long MS = 1_000;
+  /** Parts of the time between two questions after which it is looked whom to ask. */
+  private static final int LOOKS = 5;
+
+  private final Vertx vertx;
+  private final Clock clock;
+  private final Owner owner;
+  private final Counters counters;
+  private final int zone;
+  private final long everyMillis;
+  private final ObjLongConsumer<List<Reading>> tell;
+  private HallWatch watch;
+  private long timer = -1;
+  private long toldAt;
+
+  /** @param tell readings to all, under a fence */
+  HallProber(Vertx vertx, Clock clock, Owner owner, Counters counters, int zone, long everyMillis, ObjLongConsumer<List<Reading>> tell) {
+    this.vertx = vertx;
+    this.clock = clock;
+    this.owner = owner;
+    this.counters = counters;
+    this.zone = zone;
+    this.everyMillis = everyMillis;
+    this.tell = tell;
+  }
+
+  @Override
+  public void begin(LongSupplier mayAct) {
+    end();
+    HallWatch mine = new HallWatch(everyMillis * MS);
+    watch = mine;
+    timer = vertx.setPeriodic(Math.max(1, everyMillis / LOOKS), t -> look(mine, mayAct));
+  }
+
+  private void look(HallWatch mine, LongSupplier mayAct) {
+    if (!owner.isOnTime()) {
+      return; // calls come first
+    }
+    for (String worker : mine.due(clock.now(), owner.ready(zone))) {
+      if (mayAct.getAsLong() < 0) {
+        return;
+      }
+      counters.add(Count.LEASE_ACTS);
+      owner.ask(worker, (alive, took) -> {
+        mine.answered(worker, took, alive);
+        tell(mine, mine.news(), mayAct);
+      });
+    }
+    if (clock.now() - toldAt >= ALL_MICROS) {
+      toldAt = clock.now();
+      tell(mine, mine.all(), mayAct);
+    }
+  }
+
+  private void tell(HallWatch mine, List<Reading> readings, LongSupplier mayAct) {
+    long fence = mine == watch ? mayAct.getAsLong() : -1;
+    if (fence >= 0 && !readings.isEmpty()) {
+      tell.accept(readings, fence);
+    }
+  }
+
+  @Override
+  public void end() {
+    vertx.cancelTimer(timer);
+    timer = -1;
+    watch = null;
+  }
+}
--- /dev/null
+++ b/src/main/java/umberrun/lease/net/HeldDuty.java
@@ -0,0 +1,171 @@
+package umberrun.lease.net;
+
+import io.vertx.core.Vertx;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.function.Consumer;
+import java.util.function.Function;
+import java.util.function.LongSupplier;
+import umberrun.agreement.Proposer;
+import umberrun.agreement.net.Registers;
+import umberrun.core.Clock;
+import umberrun.lease.Claimant;
+import umberrun.lease.Fences;
+import umberrun.lease.Lease;
+import umberrun.stats.Counters;
+import umberrun.stats.Counters.Count;
+import umberrun.stats.Journal;
+
+/** One duty in a front end: its claimant, carried over a way of its own to the registers, and what is done while it is held. */
+final class HeldDuty implements Claimant.Outbox {
+  /** What the holder does. */
+  interface Work {
+    /** Held from now on; {@code mayAct} gives the fence, or -1, and is asked at the moment of each act. */
+    void begin(LongSupplier mayAct);
+
+    void end();
+  }
+
+  private static final String REGISTER = "duty/";
+  private static final long MS = 1_000;
+
+  final String name;
+  final String hall;
+  final Claimant claimant;
+  private final Vertx vertx;
+  private final Clock clock;
+  private final Counters counters;
+  private final Journal journal;
+  private final Registers.Way way;
+  private final Fences fences;
+  private final Work work;
+  private final Consumer<Boolean> told;
+  private long timer = -1;
+  private long fence = -1;
+  private long since;
+  /** An operator had it given back: somebody else is to have it first. */
+  private long restsUntil;
+  private boolean fit;
+
+  /**
+   * @param hall that it concerns, or empty
+   * @param told is told when it was taken (true) or given back, so that others may look at once
+   */
+  HeldDuty(String name, String hall, Vertx vertx, Clock clock, Counters counters, Journal journal, Registers.Way way, Fences fences,
+      Work work, Consumer<Boolean> told, Function<Claimant.Outbox, Claimant> claimant) {
+    this.name = name;
+    this.hall = hall;
+    this.vertx = vertx;
+    this.clock = clock;
+    this.counters = counters;
+    this.journal = journal;
+    this.way = way;
+    this.fences = fences;
+    this.work = work;
+    this.told = told;
+    this.claimant = claimant.apply(this);
+  }
+
+  boolean isHeld() {
+    return fence >= 0;
+  }
+
+  /** Whether this front end should have it, and how it stands for it. */
+  void stand(boolean should, boolean close, long delay) {
+    long now = clock.now();
+    claimant.standing(now, close, delay);
+    boolean next = should && now >= restsUntil;
+    if (next != fit) {
+      fit = next;
+      claimant.fit(now, next);
+    }
+  }
+
+  /** Gives it back by an operator's word, and stays out of it for a while. */
+  boolean release(long rest) {
+    if (!isHeld()) {
+      return false;
+    }
+    restsUntil = clock.now() + rest;
+    stand(false, false, 0);
+    return true;
+  }
+
+  /** An act was refused by who has seen a greater fence: it is another's. */
+  void overtaken() {
+    counters.add(Count.ACTS_REFUSED);
+    release(0);
+  }
+
+  Lease seen() {
+    return claimant.seen();
+  }
+
+  long sinceMillis() {
+    return (clock.now() - (isHeld() ? since : claimant.seenAt())) / MS;
+  }
+
+  @Override
+  public void read(long until) {
+    way.read(REGISTER + name, until, this::over);
+  }
+
+  @Override
+  public void propose(Proposer.Change change, long until) {
+    way.change(REGISTER + name, change, until, this::over);
+  }
+
+  private void over(umberrun.agreement.Value v) {
+    long before = claimant.seen().fence();
+    boolean held = !claimant.seen().holder().isEmpty();
+    if (v != null) {
+      fences.read(name, Lease.read(v).fence());
+    }
+    claimant.changed(clock.now(), v);
+    if (v != null && held && Lease.read(v).holder().isEmpty() && before == Lease.read(v).fence() && !fit) {
+      told.accept(false);
+    }
+  }
+
+  @Override
+  public void wake(long at) {
+    vertx.cancelTimer(timer);
+    timer = vertx.setTimer(Math.max(1, (at - clock.now() + MS - 1) / MS), t -> claimant.due(clock.now()));
+  }
+
+  @Override
+  public void hands(long to, String cause) {
+    long now = clock.now();
+    Map<String, Object> figures = new LinkedHashMap<>();
+    figures.put("duty", name);
+    figures.put("fence", to >= 0 ? to : fence);
+    figures.put("cause", cause);
+    if (to >= 0) {
+      figures.put("without_a_holder_ms", claimant.gap(now) / MS);
+      counters.add(Count.LEASES_TAKEN);
+    } else {
+      figures.put("held_ms", (now - since) / MS);
+      counters.add(cause.equals("given back") ? Count.LEASES_GIVEN_BACK : Count.LEASES_LOST);
+    }
+    boolean held = isHeld();
+    fence = to;
+    since = now;
+    journal.say(to >= 0 ? "taken" : "no longer held", figures);
+    if (held) {
+      work.end();
+    }
+    if (to >= 0) {
+      work.begin(() -> claimant.mayAct(clock.now()));
+      told.accept(true);
+    }
+  }
+
+  /** Stops its wait: the process ends. */
+  void close() {
+    vertx.cancelTimer(timer);
+    if (isHeld()) {
+      fence = -1;
+      work.end();
+    }
+  }
+}
--- a/src/main/java/umberrun/lease/sim/LeaseTrial.java
+++ b/src/main/java/umberrun/lease/sim/LeaseTrial.java
@@ -292,6 +292,17 @@
     }
   }
 
+  /** How a claimant stands for the duty by its view of the others, right or wrong, and whether it is told to look. */
+  public void stand(int claimant, boolean close, long delay, boolean hint) {
+    Claims c = claims[claimant];
+    if (c.claimant != null && !net.isPaused(c.number)) {
+      c.claimant.standing(c.clock(), close, delay);
+      if (hint) {
+        c.claimant.look(c.clock());
+      }
+    }
+  }
+
   public int voterCount() {
     return voters.length;
   }
--- a/src/test/java/umberrun/Processes.java
+++ b/src/test/java/umberrun/Processes.java
@@ -135,6 +135,25 @@
   final AtomicInteger served = new AtomicInteger();
   final List<String> faults = java.util.Collections.synchronizedList(new ArrayList<>());
 
+  private static Path stateRoot;
+
+  /** A folder of a front end's that lasts longer than its processes. */
+  static synchronized String stateDir(int number) {
+    try {
+      stateRoot = stateRoot == null ? Files.createTempDirectory("voters") : stateRoot;
+      return stateRoot.resolve("n" + number).toString();
+    } catch (IOException e) {
+      throw new java.io.UncheckedIOException(e);
+    }
+  }
+
+  static synchronized void deleteStateDirs() throws IOException {
+    try (var files = Files.walk(stateRoot)) {
+      files.sorted(java.util.Comparator.reverseOrder()).forEach(f -> f.toFile().delete());
+    }
+    stateRoot = null;
+  }
+
   /** @param sections further sections of each front end's operator's file, as maps */
   Processes(int size, int workerCount, IntFunction<Map<String, Object>> sections) throws Exception {
     this.sections = sections;
--- a/src/test/java/umberrun/lease/LeaseSeedsTest.java
+++ b/src/test/java/umberrun/lease/LeaseSeedsTest.java
@@ -38,6 +38,7 @@
         t.net().resume(t.machine(i));
         t.net().late(t.machine(i), 0);
         t.start(i);
+        t.stand(i, true, 0, false);
       }
       t.run(BOUND);
       return t.holder() >= 0 ? null : "seed " + seed + ": nobody has the duty after " + BOUND / SECOND + " s";
@@ -52,7 +53,7 @@
     int holder = t.holder();
     int hit = holder >= 0 && random.nextBoolean() ? holder : who;
     long later = t.net().now() + random.nextLong(6 * SECOND);
-    switch (random.nextInt(10)) {
+    switch (random.nextInt(12)) {
       case 0 -> { // one voter, two, or all, killed between a write and its answer and started again
         for (int i = 0; i <= random.nextInt(t.voterCount()); i++) {
           int v = (voter + i) % t.voterCount();
@@ -96,6 +97,7 @@
           t.net().resume(t.machine(hit));
         });
       }
+      case 9, 10 -> t.stand(who, random.nextBoolean(), random.nextLong(SECOND), random.nextBoolean());
       default -> { // all voters but one killed, and the holder stopped with what they said to it
         t.net().pause(t.machine(hit));
         t.net().at(t.net().now() + 4 * SECOND, () -> t.net().resume(t.machine(hit)));
