--- a/src/main/java/saddlestall/Choice.java
+++ b/src/main/java/saddlestall/Choice.java
@@ -258,6 +258,7 @@
       w.copies.values().removeIf(c -> c.inFlight == 0);
       w.copies.values().forEach(c -> c.seenAt = 0);
       w.bad = 0;
+      w.toldBad = false;
       w.benched = false;
       w.lostAt = 0;
       hallLost[hall(w)] = false;
@@ -785,7 +786,7 @@
       boolean worse = lost || w.bad - better > (w.benched ? BAD_LIMIT / 2 : BAD_LIMIT);
       if (worse && !w.benched) {
         w.trialWait = TRIAL_WAIT;
-        w.trialAt = now + TRIAL_WAIT;
+        w.trialAt = w.toldBad ? w.trialAt : now + TRIAL_WAIT;
         log("worker " + (w.id & 0xffffffffL) + " benched: failing or silent");
       }
       w.benched = worse;
--- a/src/main/java/saddlestall/Memory.java
+++ b/src/main/java/saddlestall/Memory.java
@@ -25,6 +25,8 @@
   private static final int HALLS = 32;
   /** A benched worker or hall is not tried again sooner. */
   static final long TRIAL_WAIT = 1_000_000;
+  /** Nor so soon after others said that it still does not answer; they say so every 2 s. */
+  private static final long TOLD_WAIT = 5_000_000;
 
   final Map<Integer, Worker> workers = new LinkedHashMap<>();
   final Map<Long, Function> functions = new LinkedHashMap<>(64, 0.75f, true);
@@ -172,9 +174,10 @@
       boolean back = w.toldBad && e.bad() < 0.5;
       w.toldBad = e.bad() >= 0.5;
       if (w.benched) { // whether it is back is asked by one for all: here a call tries it once it answers, and not before
-        w.trialAt = back ? now : w.toldBad ? Math.max(w.trialAt, now + TRIAL_WAIT) : w.trialAt;
-        hallTrialAt[hall(w)] = back ? now : w.toldBad ? Math.max(hallTrialAt[hall(w)], now + TRIAL_WAIT) : hallTrialAt[hall(w)];
-      } else if (fresh || e.bad() >= 0.5) {
+        w.trialAt = back ? now : w.toldBad ? Math.max(w.trialAt, now + TOLD_WAIT) : w.trialAt;
+        hallTrialAt[hall(w)] = back ? now : hallTrialAt[hall(w)];
+      } else if (fresh || w.toldBad) {
+        w.trialAt = w.toldBad ? now + TOLD_WAIT : w.trialAt;
         w.bad = Math.max(w.bad, e.weight() * clamp(e.bad(), 0, 1));
       }
       if (fresh || e.pace() > 1) {
--- a/src/main/java/umberrun/agreement/Proposer.java
+++ b/src/main/java/umberrun/agreement/Proposer.java
@@ -2,7 +2,9 @@
 
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
+import java.util.TreeMap;
 import java.util.TreeSet;
 import java.util.random.RandomGenerator;
 import umberrun.agreement.Message.Accept;
@@ -36,6 +38,8 @@
   }
 
   private static final long FIRST_BACKOFF = 10_000;
+  /** For so long a look waits for further voters where those that answered differ. */
+  private static final long LOOK_ON = 25_000;
   private static final long LAST_BACKOFF = 320_000;
 
   private final String name;
@@ -54,7 +58,8 @@
   private Ballot newest;
   private Value value;
   private boolean looking;
-  private boolean mixed;
+  /** How many have accepted the same last. */
+  private final Map<Ballot, Integer> looked = new TreeMap<>();
   private boolean accepting;
   private boolean waits;
 
@@ -91,8 +96,8 @@
   }
 
   /**
-   * Begins a read. Where a majority has accepted the same last, that was chosen, and nothing later was before the read began, as one
-   * of that majority would have it: so it is linearizable without disturbing anybody's change. Else it goes on as a change that
+   * Begins a read. Where a majority has accepted the same last, that was chosen, and nothing later was before the read began, as that
+   * would need one of that majority: so it is linearizable without disturbing anybody's change. Else it goes on as a change that
    * changes nothing.
    */
   public void read(long now, String register, long until) {
@@ -119,7 +124,7 @@
     newest = Ballot.NONE;
     value = Value.NONE;
     looking = false;
-    mixed = false;
+    looked.clear();
     accepting = false;
     waits = false;
   }
@@ -137,13 +142,13 @@
       return; // to a try that is over
     }
     if (m instanceof Looked l && yes.add(voter)) {
-      mixed |= yes.size() > 1 && !l.accepted().equals(newest);
-      newest = l.accepted();
-      value = l.value();
-      if (isMajority() && !mixed) {
-        end(value);
-      } else if (isMajority()) {
+      round = Math.max(round, l.accepted().round()); // else the first try of who only looked would be refused
+      if (looked.merge(l.accepted(), 1, Integer::sum) > voters.size() / 2) {
+        end(l.value());
+      } else if (yes.size() == voters.size()) {
         attempt(now);
+      } else if (isMajority()) {
+        out.retry(Math.min(until, now + LOOK_ON)); // a change is under way, which both phases would disturb
       }
     } else if (m instanceof Refused r) {
       round = Math.max(round, r.promised().round());
@@ -174,7 +179,7 @@
 
   /** All that decides what it does next, for the explorer. */
   String state() {
-    return op + " " + round + " " + isBusy() + " " + looking + mixed + accepting + waits + " " + newest + " " + value + " " + new TreeSet<>(yes);
+    return op + " " + round + " " + isBusy() + " " + looking + looked + accepting + waits + " " + newest + " " + value + " " + new TreeSet<>(yes);
   }
 
   private boolean isMajority() {
--- a/src/main/java/umberrun/agreement/disk/VoterFolder.java
+++ b/src/main/java/umberrun/agreement/disk/VoterFolder.java
@@ -140,7 +140,12 @@
 
   private static MVStore open(Path folder) {
     // Nothing is written behind our back: a commit is ours to make and to sync.
-    return new MVStore.Builder().fileName(folder.resolve(STORE).toString()).autoCommitDisabled().cacheSize(CACHE_MB).open();
+    MVStore store = new MVStore.Builder().fileName(folder.resolve(STORE).toString()).autoCommitDisabled().cacheSize(CACHE_MB).open();
+    // Each commit is synced before the next is written, so that the space of the one before can be used again at once:
+    // else the file grew by 5 KiB a vote for 45 s, and by that much for ever.
+    store.setRetentionTime(0);
+    store.setVersionsToKeep(0);
+    return store;
   }
 
   private static FileChannel sealOf(Path folder, boolean create) throws IOException {
--- a/src/main/java/umberrun/agreement/net/VoterDesk.java
+++ b/src/main/java/umberrun/agreement/net/VoterDesk.java
@@ -107,7 +107,7 @@
 
   /** Whether it had a vote, and may have promised something that can't be read now. */
   boolean isDamaged() {
-    return seat == null && damaged;
+    return seat == null && damaged && making == null;
   }
 
   Voters taken() {
--- a/src/main/java/umberrun/cli/LeaseCommands.java
+++ b/src/main/java/umberrun/cli/LeaseCommands.java
@@ -85,8 +85,7 @@
     @Override
     void run(PrintWriter out) throws IOException {
       JsonObject o = call("release " + duty);
-      String asked = o.get("asked").getAsString();
-      out.println(asked.isEmpty() ? "nobody holds it" : asked + " is asked to give it back");
+      out.println(o.get("asked").getAsString() + " is asked to give it back");
     }
   }
 
--- a/src/main/java/umberrun/lease/Candidacy.java
+++ b/src/main/java/umberrun/lease/Candidacy.java
@@ -20,9 +20,9 @@
 
   /** Those that watch for a duty to be free, in the order in which they are to take it; the rest comes up as these go. */
   public static final int CLOSE = 3;
-  /** Between the turns of two: a round of the agreement. */
-  private static final long TURN = 40_000;
-  private static final int MOST_TURNS = 25;
+  /** Between the turns of two: both phases of the agreement with their syncs, as the next one would disturb the one before. */
+  private static final long TURN = 100_000;
+  private static final int MOST_TURNS = 10;
 
   private Candidacy() { }
 
--- a/src/main/java/umberrun/lease/net/HeldDuty.java
+++ b/src/main/java/umberrun/lease/net/HeldDuty.java
@@ -46,6 +46,8 @@
   /** An operator had it given back: somebody else is to have it first. */
   private long restsUntil;
   private boolean fit;
+  /** Who gave it back lately, and until when others come first. */
+  private final Map<String, Long> resting = new LinkedHashMap<>();
 
   /**
    * @param hall that it concerns, or empty
@@ -81,6 +83,21 @@
     }
   }
 
+  /** Somebody says that it has changed hands; {@code given} where it was given back. */
+  void changedHands(String by, boolean given, long rest) {
+    long now = clock.now();
+    resting.values().removeIf(until -> until <= now);
+    if (given) {
+      resting.put(by, now + rest);
+    }
+    claimant.look(now);
+  }
+
+  /** Whether a front end stays out of it, by its own word. */
+  boolean rests(String who) {
+    return resting.getOrDefault(who, 0L) > clock.now();
+  }
+
   /** Gives it back by an operator's word, and stays out of it for a while. */
   boolean release(long rest) {
     if (!isHeld()) {
--- a/src/main/java/umberrun/lease/net/LeasePart.java
+++ b/src/main/java/umberrun/lease/net/LeasePart.java
@@ -44,7 +44,7 @@
   private static final String TOPIC = "leases";
   private static final String PROBE = "probe/";
   private static final String BEACON = "beacon";
-  /** In a parcel: readings of a hall, a duty that changed hands, an operator's word to give one back. */
+  /** In a parcel: readings of a hall, a duty that changed hands (its fence 1 where it was given back), an operator's word to give one back. */
   private static final int READINGS = 0;
   private static final int LOOK = 1;
   private static final int RELEASE = 2;
@@ -146,7 +146,7 @@
 
   private void add(String duty, String about, HeldDuty.Work work) {
     duties.put(duty, new HeldDuty(duty, about, vertx, clock, counters, journal, registers.way(), fences, work,
-        taken -> changedHands(duty), out -> new Claimant(settings, fleet.name(), startId, random.split(), out)));
+        taken -> changedHands(duty, taken), out -> new Claimant(settings, fleet.name(), startId, random.split(), out)));
   }
 
   /** A duty that another part brings; before the start alone. */
@@ -185,7 +185,8 @@
           held.getOrDefault(c.name(), 0)));
     }
     for (HeldDuty d : duties.values()) {
-      int place = Candidacy.place(d.name, d.hall, fleet.name(), all);
+      List<Candidate> willing = all.stream().filter(c -> c.name().equals(fleet.name()) || !d.rests(c.name())).toList();
+      int place = Candidacy.place(d.name, d.hall, fleet.name(), willing);
       d.stand(fit && !leaving, place < Candidacy.CLOSE, Candidacy.delay(place));
     }
   }
@@ -218,13 +219,8 @@
   }
 
   /** Has the others look, so that they take a free duty at once and know who has how many. */
-  private void changedHands(String duty) {
-    byte[] word = word(LOOK, duty, 0, List.of());
-    fleet.peers().forEach(p -> {
-      if (p.claim().isLiving()) {
-        fleet.post(TOPIC, p.claim().name(), word);
-      }
-    });
+  private void changedHands(String duty, boolean taken) {
+    toAll(word(LOOK, duty, taken ? 0 : 1, List.of()));
     if (leaving && duties.values().stream().noneMatch(d -> d.seen().isOf(fleet.name(), startId))) {
       givenBack.tryComplete();
     }
@@ -235,17 +231,20 @@
   private void tell(String duty, long fence, List<Reading> readings) {
     for (int from = 0; from < readings.size(); from += READINGS_A_PARCEL) {
       List<Reading> part = readings.subList(from, Math.min(readings.size(), from + READINGS_A_PARCEL));
-      byte[] word = word(READINGS, duty, fence, part);
+      counters.add(Count.READINGS_SENT);
       heard(duty, fence, part, fleet.name());
-      fleet.peers().forEach(p -> {
-        if (p.claim().isLiving()) {
-          counters.add(Count.READINGS_SENT);
-          fleet.post(TOPIC, p.claim().name(), word);
-        }
-      });
+      toAll(word(READINGS, duty, fence, part));
     }
   }
 
+  private void toAll(byte[] word) {
+    fleet.peers().forEach(p -> {
+      if (p.claim().isLiving()) {
+        fleet.post(TOPIC, p.claim().name(), word);
+      }
+    });
+  }
+
   private void heard(String duty, long fence, List<Reading> readings, String from) {
     if (!fences.take(duty, fence)) {
       counters.add(Count.ACTS_REFUSED);
@@ -308,14 +307,20 @@
     if (kind == READINGS) {
       heard(duty, fence, readings, from);
     } else if (kind == LOOK) {
-      d.claimant.look(clock.now());
+      d.changedHands(from, fence > 0, rest());
+      stand();
     } else if (kind == RELEASE) {
       release(d);
     }
   }
 
   private boolean release(HeldDuty d) {
-    return d.release(2 * options.lengthMillis() * MS);
+    return d.release(rest());
+  }
+
+  /** For so long whoever gave a duty back leaves it to others. */
+  private long rest() {
+    return 2 * options.lengthMillis() * MS;
   }
 
   @Override
@@ -360,11 +365,11 @@
     }
     Lease l = d.seen();
     boolean here = release(d);
-    if (!here && !l.holder().isEmpty()) {
-      fleet.post(TOPIC, l.holder(), word(RELEASE, duty, 0, List.of()));
+    if (!here) { // who was seen to hold it last may not any more: whoever does heeds it
+      toAll(word(RELEASE, duty, 0, List.of()));
     }
     JsonObject o = new JsonObject();
-    o.addProperty("asked", here ? fleet.name() : l.holder());
+    o.addProperty("asked", here ? fleet.name() : l.holder().isEmpty() ? "whoever holds it" : l.holder());
     return o.toString();
   }
 
--- a/src/test/java/umberrun/agreement/ExplorerTest.java
+++ b/src/test/java/umberrun/agreement/ExplorerTest.java
@@ -1,5 +1,6 @@
 package umberrun.agreement;
 
+import static org.junit.Assert.assertEquals;
 import static org.junit.Assert.assertNotNull;
 import static org.junit.Assert.assertNull;
 import static org.junit.Assert.assertTrue;
@@ -71,6 +72,8 @@
     p.read(0, "r", 9);
     p.receive(0, "v0", new Message.Looked(2, b, new Value(2, "x")));
     p.receive(0, "v1", new Message.Looked(2, new Ballot(2, "q"), new Value(1, "w")));
+    assertEquals("two differ: the third may agree with one of them", 6, sent.size());
+    p.receive(0, "v2", new Message.Looked(2, new Ballot(1, "q"), Value.NONE));
     assertTrue(done.size() == 1 && sent.get(8) instanceof Message.Prepare);
   }
 }
--- a/src/test/java/umberrun/agreement/disk/VoterFolderTest.java
+++ b/src/test/java/umberrun/agreement/disk/VoterFolderTest.java
@@ -68,6 +68,15 @@
     assertEquals(whole, slots(folder, "v0"));
   }
 
+  /** Votes go on for months: the space of what was overwritten is used again. */
+  @Test
+  public void theFileDoesNotGrowWithTheVotes() throws Exception {
+    Path store = voted("v0", 20).resolve("registers.mv");
+    long few = Files.size(store);
+    long many = Files.size(voted("v1", 400).resolve("registers.mv"));
+    assertTrue(few + " and " + many, many <= 4 * few);
+  }
+
   /** An older copy put back under a newer seal has forgotten what was promised. */
   @Test
   public void anOlderCopyIsNotVotedOn() throws Exception {
