--- /dev/null
+++ b/src/main/java/umberrun/works/World.java
@@ -0,0 +1,43 @@
+package umberrun.works;
+
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.Map;
+
+/** The machines as the holder sees them, by its list and by what is told of them. */
+public record World(Map<String, Seen> machines) {
+  /**
+   * One machine.
+   *
+   * @param listed whether the list names it as ready
+   * @param gone whether the list no longer names it
+   * @param since its last start, in milliseconds
+   * @param failing whether it is benched or does not answer
+   */
+  public record Seen(String hall, String kind, boolean listed, boolean gone, long since, boolean cold, boolean failing) {
+    boolean isReady() {
+      return listed && !cold && !failing;
+    }
+  }
+
+  /** One of them, or null. */
+  public Seen of(String name) {
+    return machines.get(name);
+  }
+
+  /** Ready machines by hall, those of a ledger that are missing left out. */
+  Map<String, Integer> ready(Ledger l) {
+    Map<String, Integer> ready = new HashMap<>();
+    machines.forEach((name, s) -> {
+      Ledger.Machine m = l.machine(name);
+      if (s.isReady() && (m == null || !m.stage().isMissing())) {
+        ready.merge(s.hall, 1, Integer::sum);
+      }
+    });
+    return ready;
+  }
+
+  static int sum(Collection<Integer> counts) {
+    return counts.stream().mapToInt(i -> i).sum();
+  }
+}
