Works wired: roll, bans by plan, reports, driver, commands; five processes through faults

Change: works.net (a start is bound before it serves, bans beside those by hand, reports, the duty works drives), Owner's second set of bans and what is out at a worker, the module's Wanted (a copy ordered by others' word, within the ration), commands works plan|show|watch|why|pause|resume|cancel|urgent|skip|done|force|strike.

--- a/src/main/java/saddlestall/Choice.java
+++ b/src/main/java/saddlestall/Choice.java
@@ -153,6 +153,12 @@
       close(open.get(e.call()));
     } else if (event instanceof Known e) {
       believe(e, now);
+    } else if (event instanceof Wanted e) {
+      Worker w = workers.get(e.worker());
+      Function f = functions.get(e.function());
+      if (w != null && f != null && !cold(w) && mayOrder(w)) {
+        order(w, f, f.loadTime * storeFactor);
+      }
     } else if (event instanceof Siblings e) {
       siblings = Math.max(1, e.count());
       divisor = Math.max(siblings, e.divisor());
@@ -683,14 +689,18 @@
       boolean wanted = rank(f, w) < homes && (turn || hopeless || !settings.loads().loadsOnMiss());
       boolean absent = copy == null || copy.readyAt == 0 && now - copy.seenAt > keep();
       if (wanted && absent && mayOrder(w)) {
-        orderTimes.add(now);
-        w.copies.computeIfAbsent(f.id, id -> new Copy()).readyAt = now + (long) loadWait(call, w);
-        act(new Hold(w.id, f.id, 1));
+        order(w, f, loadWait(call, w));
         return;
       }
     }
   }
 
+  private void order(Worker w, Function f, double wait) {
+    orderTimes.add(now);
+    w.copies.computeIfAbsent(f.id, id -> new Copy()).readyAt = now + (long) wait;
+    act(new Hold(w.id, f.id, 1));
+  }
+
   // ---------------------------------------------------------------- health
 
   /** Draws on an outcome: the worker's pace and health, the copy, the function, the weights. */
--- a/src/main/java/saddlestall/Dispatcher.java
+++ b/src/main/java/saddlestall/Dispatcher.java
@@ -86,7 +86,7 @@
   // ---------------------------------------------------------------- events
 
   sealed interface Event permits Members, Call, Started, Outcome, Left, Due, Loaded, Heard, Probed, Known,
-      Siblings { }
+      Siblings, Wanted { }
 
   /** News of the list of workers. */
   record Members(ListKind kind, List<Member> members) implements Event { }
@@ -145,6 +145,9 @@
    */
   record Siblings(double count, double divisor) implements Event { }
 
+  /** Others want a copy of a function at a worker, as the last one is about to go. */
+  record Wanted(int worker, long function) implements Event { }
+
   /** What another instance saw {@code age} ago; {@code weight}, up to 1, is what it is worth at that age. */
   sealed interface Known extends Event permits KnownCopy, KnownWorker, KnownFunction { }
 
--- a/src/main/java/umberrun/Server.java
+++ b/src/main/java/umberrun/Server.java
@@ -38,6 +38,7 @@
 import umberrun.stats.Counters.Count;
 import sun.misc.Signal;
 import umberrun.worker.WorkerPool;
+import umberrun.works.net.WorksPart;
 
 /** Puts the parts of one front end together, on one event loop, and takes them apart on SIGTERM. */
 final class Server {
@@ -69,6 +70,7 @@
   private Consul consul;
   private FleetPart fleet;
   private LeasePart leases;
+  private WorksPart works;
   private long letGoTimer = -1;
   private volatile boolean fit;
   private Future<Void> learned = Future.succeededFuture();
@@ -173,6 +175,7 @@
         })
         .compose(v -> learned)
         .compose(v -> handover == null ? Future.succeededFuture() : handover.ready())
+        .compose(v -> works == null ? Future.succeededFuture() : works.bound()) // before anything is sent to a worker
         .compose(v -> rpc.listen(config.listen()))
         .compose(port -> {
           rpcPort = port;
@@ -202,6 +205,11 @@
       leases = new LeasePart(vertx, clock, owner, counters, file.leases(), fleet, file.fleet().name(), config.names().zones(),
           zone < config.names().zones().size() ? config.names().zones().get(zone) : "", config.seed(), duty::state, Server::log);
     }
+    if (file.works() != null) {
+      works = new WorksPart(vertx, clock, owner, counters, file.works(), fleet, leases.registers(), config.names().zones(),
+          config.names().kinds(), shared, Server::log);
+      leases.bring(works.duty(), works);
+    }
     fleet.start(consul == null || !file.fleet().consul() ? null : consul);
   }
 
@@ -243,6 +251,9 @@
   /** Two processes share the limits of one: each holds half as many connections. */
   private void share(boolean accompanied) {
     account.shareAmong(accompanied ? 2 : 1);
+    if (works != null) {
+      works.accompanied(accompanied);
+    }
   }
 
   /** What operators ask for, carried out here and in the other process where there is one. */
@@ -283,6 +294,9 @@
 
     private Future<Boolean> setOut(String worker, boolean out) {
       log("by hand: " + worker + (out ? " is taken out" : " may serve again"));
+      if (works != null && !out) {
+        works.resumedByHand(worker);
+      }
       return handover == null ? owner.setOut(worker, out, clock.now()) : handover.setOut(worker, out, clock.now());
     }
   }
@@ -395,10 +409,13 @@
   }
 
   private void end() {
-    if (fleet != null) {
-      fleet.leave(false);
-    }
-    vertx.setTimer(FLUSH_MILLIS, f -> done.countDown());
+    Future<Void> offRoll = works == null ? Future.succeededFuture() : works.leave(duty.state() == Duty.State.HANDING_OVER);
+    offRoll.onComplete(v -> {
+      if (fleet != null) {
+        fleet.leave(false);
+      }
+      vertx.setTimer(FLUSH_MILLIS, f -> done.countDown());
+    });
   }
 
   private static void log(String text) {
--- a/src/main/java/umberrun/cli/Commands.java
+++ b/src/main/java/umberrun/cli/Commands.java
@@ -25,7 +25,8 @@
 /** What operators ask from a shell. Not loaded by {@code serve}, which starts without a command line's cost. */
 @Command(name = "umberrun", mixinStandardHelpOptions = true, description = "A front end for workers that run functions.",
     subcommands = {Commands.Serve.class, Commands.Benchlink.class, Commands.Knowledge.class, FleetCommand.class,
-        LeaseCommands.Leases.class, LeaseCommands.Register.class, LeaseCommands.VotersCommand.class, SimulateCommand.class})
+        LeaseCommands.Leases.class, LeaseCommands.Register.class, LeaseCommands.VotersCommand.class, WorksCommand.class,
+        SimulateCommand.class})
 public final class Commands implements Runnable {
   @Spec
   private CommandSpec spec;
--- a/src/main/java/umberrun/config/OperatorFile.java
+++ b/src/main/java/umberrun/config/OperatorFile.java
@@ -11,7 +11,7 @@
 
 /** The operator's own file: whether and where the invoke API listens, which Consul it works with, whom to learn from, which fleet it is of, which duties there are. */
 public record OperatorFile(SocketAddress invoke, Bounds deferred, Consul consul, Learning.Settings learning,
-    FleetOptions fleet, LeaseOptions leases) {
+    FleetOptions fleet, LeaseOptions leases, WorksOptions works) {
 
   /** The agent, the name that we register under, and the name whose instances are our workers (or empty). */
   public record Consul(SocketAddress agent, String service, String workers, long waitMillis) { }
@@ -29,6 +29,7 @@
       throw new BadConfig("consul needs invoke.listen: the check that is registered lies there");
     }
     FleetOptions fleet = fleet(o, consul);
+    LeaseOptions leases = o.has("leases") ? LeaseOptions.read(part(o, "leases"), fleet) : null;
     return new OperatorFile(
         invoke.has("listen") ? Config.address(invoke.get("listen").getAsString(), "invoke.listen") : null,
         new Bounds((int) figure(deferred, "queue", 1_000), (int) figure(deferred, "in_hand", 64),
@@ -38,7 +39,7 @@
             consul.has("service") ? consul.get("service").getAsString() : "umberrun",
             consul.has("workers") ? consul.get("workers").getAsString() : "",
             figure(consul, "wait_ms", 30_000)) : null, learning(part(o, "learning")), fleet,
-        o.has("leases") ? LeaseOptions.read(part(o, "leases"), fleet) : null);
+        leases, o.has("works") ? WorksOptions.read(part(o, "works"), leases) : null);
   }
 
   /** Null where it is off. Whoever asks others is to be asked too, so that there is somebody to ask. */
--- a/src/main/java/umberrun/core/Bans.java
+++ b/src/main/java/umberrun/core/Bans.java
@@ -28,6 +28,8 @@
   private final long grace;
   private Map<String, Long> out = new HashMap<>();
   private Map<String, Long> back = new HashMap<>();
+  /** Out by plans of the whole fleet, a set beside what operators say at this front end's door. */
+  private Map<String, Long> settled = new HashMap<>();
 
   /** @param drainGrace how long after the list's word work may still go to a worker that drains */
   Bans(long drainGrace) {
@@ -72,10 +74,24 @@
     return names;
   }
 
+  /**
+   * What plans have out from now on, whatever was out by them before; the names for which that changes anything.
+   *
+   * @param cold of those that were out, the ones that were worked on and count as new
+   */
+  Set<String> settle(Set<String> nowOut, Set<String> cold, long now) {
+    Map<String, Long> next = new HashMap<>();
+    nowOut.forEach(name -> next.put(name, settled.getOrDefault(name, now)));
+    Set<String> changed = changed(settled, next);
+    settled.keySet().stream().filter(n -> !next.containsKey(n) && cold.contains(n)).forEach(n -> back.put(n, now));
+    settled = next;
+    return changed;
+  }
+
   /** What holds for a worker of which the list said this, for the first time at {@code toldAt} (0: it is ready). */
   Standing over(String worker, State listed, long toldAt, long since) {
     long drained = toldAt == 0 ? NEVER : toldAt + grace;
-    Long outAt = out.get(worker);
+    Long outAt = out.getOrDefault(worker, settled.get(worker));
     if (outAt != null) {
       return new Standing(listed == State.READY ? State.DRAINING : listed, Math.min(drained, outAt), since);
     }
--- a/src/main/java/umberrun/core/Owner.java
+++ b/src/main/java/umberrun/core/Owner.java
@@ -67,6 +67,8 @@
   private static final long MOST_BYTES = 12 << 20;
   /** Spellings of functions kept to write orders with; the module forgets functions sooner. */
   private static final int MOST_FUNCTIONS = 16_384;
+  /** Origins of facts that a hall's prober found. */
+  public static final String PROBER = "probe/";
   private static final long GUARD_BACKOFF_MILLIS = 250;
   /** A machine later than this takes nothing new: what it takes it could not answer in time. */
   private static final long MOST_LAG = 150_000;
@@ -96,6 +98,10 @@
       return size() > MOST_FUNCTIONS;
     }
   };
+  /** Attempts and orders that are out, by worker. */
+  private final Map<Integer, Integer> out = new HashMap<>();
+  /** Workers that a prober of their hall says do not answer. */
+  private final Set<String> toldFailing = new HashSet<>();
   private long bytesInHand;
   /** Calls that have no answer yet. */
   private int owed;
@@ -189,6 +195,7 @@
       startTimer(a);
     } else if (action instanceof Hold a) {
       counters.add(Count.ORDERS_SENT);
+      out.merge(a.worker(), 1, Integer::sum);
       workers.hold(new Order(this, a.worker(), a.function(), spelling(a.function()), a.copies(), clock.now()));
     } else if (action instanceof Drop a) {
       workers.free(a.worker(), spelling(a.function()));
@@ -322,6 +329,7 @@
     call.attempts.add(attempt);
     call.out++;
     counters.add(Count.ATTEMPTS_SENT);
+    out.merge(a.worker(), 1, Integer::sum);
     workers.run(attempt);
   }
 
@@ -334,6 +342,7 @@
   void ended(Attempt attempt, Ending e) {
     Call call = attempt.call;
     call.out--;
+    cameBack(attempt.worker());
     call.mayHaveRun |= !e.code().notRun;
     counters.add(Count.valueOf("ATTEMPTS_" + e.code()));
     if (e.code() == Code.OK && !call.over) {
@@ -352,7 +361,13 @@
 
   // ---------------------------------------------------------------- orders, probes, timers
 
+  /** One thing less is out at a worker. */
+  private void cameBack(int worker) {
+    out.computeIfPresent(worker, (w, n) -> n > 1 ? n - 1 : null);
+  }
+
   void loaded(Order o, Code code, int standing) {
+    cameBack(o.worker());
     tell(new Loaded(clock.now() - o.givenAt, standing, o.worker(), code, o.function));
   }
 
@@ -552,6 +567,13 @@
         hearsay.keepEarly(fact);
         continue;
       }
+      if (entry != null && fact.subject().kind() == Fact.Kind.WORKER && fact.origin().startsWith(PROBER)) {
+        if (fact.value().b() >= 0.5) {
+          toldFailing.add(fact.subject().worker());
+        } else {
+          toldFailing.remove(fact.subject().worker());
+        }
+      }
       Standing s = entry == null ? null : standing(entry);
       Dispatcher.Known known = hearsay.heard(fact, entry == null ? 0 : entry.id(),
           s == null ? null : new Screen.Standing(s.state(), s.since()), now);
@@ -564,6 +586,73 @@
     return used;
   }
 
+  // ---------------------------------------------------------------- what plans of the whole fleet want
+
+  /** A worker as this front end has it; {@code kind} as the settings number it, {@code since} in Unix microseconds. */
+  public record Machine(String name, int zone, int kind, boolean ready, long since, boolean cold, boolean failing) { }
+
+  /** Takes out what plans have out, and nothing else by plans; done once that holds here. */
+  public Future<Void> settle(Set<String> nowOut, Set<String> cold) {
+    Promise<Void> done = Promise.promise();
+    post(() -> {
+      restate(bans.settle(nowOut, cold, clock.now()));
+      done.complete();
+    });
+    return done.future();
+  }
+
+  /** The workers that the list has now; READY ones are ready whatever is out by hand or plan. */
+  public List<Machine> machines() {
+    long now = clock.now();
+    List<Machine> all = new ArrayList<>();
+    for (Roster.Entry e : roster.all()) {
+      Endpoint p = e.endpoint();
+      long since = standing(e).since();
+      all.add(new Machine(p.name(), p.zone(), p.kind(), p.state() == State.READY, p.since(), since > 0 && now - since < settings.rules().cold(),
+          toldFailing.contains(p.name())));
+    }
+    return all;
+  }
+
+  /** Attempts and orders that are out, by worker's name; what was out at one that is gone counts no more. */
+  public Map<String, Integer> underWay() {
+    Map<String, Integer> named = new TreeMap<>();
+    out.forEach((id, n) -> {
+      Roster.Entry e = roster.find(id);
+      if (e != null) {
+        named.put(e.endpoint().name(), n);
+      }
+    });
+    return named;
+  }
+
+  /** Functions in use here, by their hex digits, and the workers that hold them loaded as far as this front end saw; so many at the most. */
+  public Map<String, Set<String>> copies(int most) {
+    Map<Long, Double> recent = new HashMap<>();
+    Map<Long, Set<String>> at = new HashMap<>();
+    module.recall(clock.now(), known -> {
+      if (known instanceof Dispatcher.KnownFunction f && f.recent() >= 1) {
+        recent.put(f.function(), f.recent());
+      } else if (known instanceof Dispatcher.KnownCopy c && roster.find(c.worker()) != null) {
+        at.computeIfAbsent(c.function(), k -> new HashSet<>()).add(roster.find(c.worker()).endpoint().name());
+      }
+    });
+    Map<String, Set<String>> named = new TreeMap<>();
+    recent.entrySet().stream().sorted(Map.Entry.<Long, Double>comparingByValue().reversed()).limit(most)
+        .filter(e -> at.containsKey(e.getKey())).forEach(e -> named.put(String.format("%016x", e.getKey()), at.get(e.getKey())));
+    return named;
+  }
+
+  /** Has the module order a copy of a function at a worker, within its ration. */
+  public void want(String worker, long function) {
+    post(() -> {
+      Roster.Entry entry = roster.find(worker);
+      if (entry != null) {
+        tell(new Dispatcher.Wanted(entry.id(), function));
+      }
+    });
+  }
+
   private void restate(Iterable<String> names) {
     List<Member> members = new ArrayList<>();
     for (String name : names) {
--- a/src/main/java/umberrun/lease/net/HeldDuty.java
+++ b/src/main/java/umberrun/lease/net/HeldDuty.java
@@ -17,9 +17,9 @@
 import umberrun.stats.Journal;
 
 /** One duty in a front end: its claimant, carried over a way of its own to the registers, and what is done while it is held. */
-final class HeldDuty implements Claimant.Outbox {
+public final class HeldDuty implements Claimant.Outbox {
   /** What the holder does. */
-  interface Work {
+  public interface Work {
     /** Held from now on; {@code mayAct} gives the fence, or -1, and is asked at the moment of each act. */
     void begin(LongSupplier mayAct);
 
--- a/src/main/java/umberrun/lease/net/LeasePart.java
+++ b/src/main/java/umberrun/lease/net/LeasePart.java
@@ -149,11 +149,16 @@
         taken -> changedHands(duty, taken), out -> new Claimant(settings, fleet.name(), startId, random.split(), out)));
   }
 
-  /** A duty that another part brings; before the start alone. */
+  /** The agreed registers, for parts that keep something there. */
   public Registers registers() {
     return registers;
   }
 
+  /** A duty that another part brings, before the fleet's listener is open. */
+  public void bring(String duty, HeldDuty.Work work) {
+    add(duty, "", work);
+  }
+
   private void begin() {
     began = true;
     registers.open().onComplete(v -> {
--- a/src/main/java/umberrun/works/Ledger.java
+++ b/src/main/java/umberrun/works/Ledger.java
@@ -74,7 +74,7 @@
   public static final class Refused extends RuntimeException {
     private static final long serialVersionUID = 1;
 
-    Refused(String message) {
+    public Refused(String message) {
       super(message, null, false, false);
     }
   }
--- a/src/main/java/umberrun/works/World.java
+++ b/src/main/java/umberrun/works/World.java
@@ -15,7 +15,7 @@
    * @param failing whether it is benched or does not answer
    */
   public record Seen(String hall, String kind, boolean listed, boolean gone, long since, boolean cold, boolean failing) {
-    boolean isReady() {
+    public boolean isReady() {
       return listed && !cold && !failing;
     }
   }
--- a/src/test/java/umberrun/DeployTest.java
+++ b/src/test/java/umberrun/DeployTest.java
@@ -43,7 +43,8 @@
       assertTrue(needed, classes.lines().anyMatch(needed::equals));
     }
     // What is off costs a start nothing: not one class of it, nor of a library that is there for it alone.
-    for (String off : List.of("umberrun/fleet/", "umberrun/agreement/", "umberrun/lease/", "umberrun/sim/", "umberrun/learning/net/", "org/slf4j/", "ch/qos/",
+    for (String off : List.of("umberrun/fleet/", "umberrun/agreement/", "umberrun/lease/", "umberrun/works/",
+        "umberrun/sim/", "umberrun/learning/net/", "org/slf4j/", "ch/qos/",
         "org/HdrHistogram/", "org/knowm/", "picocli/")) {
       assertFalse(off, classes.lines().anyMatch(l -> l.startsWith(off)));
     }
--- a/src/test/java/umberrun/Processes.java
+++ b/src/test/java/umberrun/Processes.java
@@ -154,8 +154,16 @@
     stateRoot = null;
   }
 
+  private final int coldMillis;
+
   /** @param sections further sections of each front end's operator's file, as maps */
   Processes(int size, int workerCount, IntFunction<Map<String, Object>> sections) throws Exception {
+    this(size, workerCount, sections, 17_000);
+  }
+
+  /** @param coldMillis how long a worker is cold */
+  Processes(int size, int workerCount, IntFunction<Map<String, Object>> sections, int coldMillis) throws Exception {
+    this.coldMillis = coldMillis;
     this.sections = sections;
     this.relays = new Relay[size][size];
     command = Files.readAllLines(Path.of("deploy/balancer.toml")).stream().filter(l -> l.startsWith("run"))
@@ -251,7 +259,8 @@
     file.add("learning", learning);
     Path operator = Files.writeString(n.folder.resolve("operator.json"), file.toString());
     String settings = Scenario.SETTINGS.replace("\"Siblings\":3", "\"Siblings\":" + relays.length)
-        .replace("\"Zone\":0", "\"Zone\":" + n.number % 3);
+        .replace("\"Zone\":0", "\"Zone\":" + n.number % 3)
+        .replace("\"Cold\":17000", "\"Cold\":" + coldMillis);
     Path config = Files.writeString(n.folder.resolve("config.json"), "{\"name\":\"n" + n.number + "\",\"listen\":\"127.0.0.1:"
         + n.rpc + "\",\"limits\":{\"memory_mb\":192,\"sockets\":1024},\"changelog\":\"127.0.0.1:"
         + changeLog.getAddress().getPort() + "\",\"known\":" + known + ",\"settings\":" + settings + "}");
--- a/src/test/java/umberrun/Scenario.java
+++ b/src/test/java/umberrun/Scenario.java
@@ -363,6 +363,8 @@
     /** Takes what comes and says nothing. */
     volatile boolean silent;
     final AtomicInteger probes = new AtomicInteger();
+    /** Calls and orders to load that came. */
+    final AtomicInteger work = new AtomicInteger();
     /** The body of such an answer; the call's own where it is null. */
     volatile String longAnswer;
 
@@ -392,8 +394,11 @@
           line(in);
         }
         Command c = new Command(words, s);
+        work.addAndGet(words.get(0).equals("RUN") || words.get(0).equals("HOLD") ? 1 : 0);
         if (answersAll && !silent && words.get(0).equals("RUN")) {
           answer(c, "200", "n=w", longAnswer != null ? longAnswer : words.get(3));
+        } else if (answersAll && !silent && words.get(0).equals("HOLD")) {
+          answer(c, "200", "pods=1", "");
         } else if (answersAll && words.get(0).equals("INFO")) {
           probes.incrementAndGet();
           if (!silent) {
