An assembly for what front ends do with each other; tests of works' rules and of the module

Cause: Server passed works on as a duty's work, and verifying that loaded a class of leases in every start, though off (found by DeployTest). Change: FleetAssembly holds view, leases and works, and is made only where they are on.

--- a/src/main/java/umberrun/Server.java
+++ b/src/main/java/umberrun/Server.java
@@ -23,13 +23,11 @@
 import umberrun.core.Duty;
 import umberrun.core.Owner;
 import umberrun.core.Invocations;
-import umberrun.fleet.net.FleetPart;
 import umberrun.front.invoke.InvokeFront;
 import umberrun.front.rpc.RpcFront;
 import umberrun.handover.Handover;
 import umberrun.learning.net.Learning;
 import umberrun.learning.net.PeerServer;
-import umberrun.lease.net.LeasePart;
 import umberrun.ops.Door;
 import umberrun.roll.ChangeLog;
 import umberrun.roll.Consul;
@@ -38,7 +36,6 @@
 import umberrun.stats.Counters.Count;
 import sun.misc.Signal;
 import umberrun.worker.WorkerPool;
-import umberrun.works.net.WorksPart;
 
 /** Puts the parts of one front end together, on one event loop, and takes them apart on SIGTERM. */
 final class Server {
@@ -68,9 +65,7 @@
   private final Path shared;
   private Handover handover;
   private Consul consul;
-  private FleetPart fleet;
-  private LeasePart leases;
-  private WorksPart works;
+  private FleetAssembly fleet;
   private long letGoTimer = -1;
   private volatile boolean fit;
   private Future<Void> learned = Future.succeededFuture();
@@ -175,7 +170,7 @@
         })
         .compose(v -> learned)
         .compose(v -> handover == null ? Future.succeededFuture() : handover.ready())
-        .compose(v -> works == null ? Future.succeededFuture() : works.bound()) // before anything is sent to a worker
+        .compose(v -> fleet == null ? Future.succeededFuture() : fleet.bound()) // before anything is sent to a worker
         .compose(v -> rpc.listen(config.listen()))
         .compose(port -> {
           rpcPort = port;
@@ -195,21 +190,7 @@
     if (file == null || file.fleet() == null) {
       return;
     }
-    int zone = config.settings().zone();
-    fleet = new FleetPart(vertx, owner, clock, counters, account, file.fleet(), new FleetPart.Identity(config.name(),
-        zone < config.names().zones().size() ? config.names().zones().get(zone) : "",
-        file.learning() == null ? "" : file.learning().listen().toString(),
-        config.door() == null ? "" : config.door().toString(), config.settings().siblings(), config.seed()),
-        duty::state, Server::log);
-    if (file.leases() != null) {
-      leases = new LeasePart(vertx, clock, owner, counters, file.leases(), fleet, file.fleet().name(), config.names().zones(),
-          zone < config.names().zones().size() ? config.names().zones().get(zone) : "", config.seed(), duty::state, Server::log);
-    }
-    if (file.works() != null) {
-      works = new WorksPart(vertx, clock, owner, counters, file.works(), fleet, leases.registers(), config.names().zones(),
-          config.names().kinds(), shared, Server::log);
-      leases.bring(works.duty(), works);
-    }
+    fleet = new FleetAssembly(vertx, owner, clock, counters, account, config, duty, shared, Server::log);
     fleet.start(consul == null || !file.fleet().consul() ? null : consul);
   }
 
@@ -251,8 +232,8 @@
   /** Two processes share the limits of one: each holds half as many connections. */
   private void share(boolean accompanied) {
     account.shareAmong(accompanied ? 2 : 1);
-    if (works != null) {
-      works.accompanied(accompanied);
+    if (fleet != null) {
+      fleet.accompanied(accompanied);
     }
   }
 
@@ -294,8 +275,8 @@
 
     private Future<Boolean> setOut(String worker, boolean out) {
       log("by hand: " + worker + (out ? " is taken out" : " may serve again"));
-      if (works != null && !out) {
-        works.resumedByHand(worker);
+      if (fleet != null && !out) {
+        fleet.resumedByHand(worker);
       }
       return handover == null ? owner.setOut(worker, out, clock.now()) : handover.setOut(worker, out, clock.now());
     }
@@ -392,9 +373,8 @@
     fit = duty.isFit();
     rolls.forEach(Roll::leave);
     letGo();
-    Future<Void> given = leases == null ? Future.succeededFuture() : leases.leave();
-    if (fleet != null && succeeded) { // the successor waits for the listener and for the voter's folder
-      given.compose(v -> leases == null ? Future.succeededFuture() : leases.close()).onComplete(v -> fleet.leave(true));
+    if (fleet != null) {
+      fleet.leave(succeeded);
     }
     if (succeeded) {
       transport.stopListening(rpcPort);
@@ -409,13 +389,8 @@
   }
 
   private void end() {
-    Future<Void> offRoll = works == null ? Future.succeededFuture() : works.leave(duty.state() == Duty.State.HANDING_OVER);
-    offRoll.onComplete(v -> {
-      if (fleet != null) {
-        fleet.leave(false);
-      }
-      vertx.setTimer(FLUSH_MILLIS, f -> done.countDown());
-    });
+    Future<Void> left = fleet == null ? Future.succeededFuture() : fleet.end();
+    left.onComplete(v -> vertx.setTimer(FLUSH_MILLIS, f -> done.countDown()));
   }
 
   private static void log(String text) {
--- a/src/main/java/umberrun/works/Driver.java
+++ b/src/main/java/umberrun/works/Driver.java
@@ -191,7 +191,7 @@
   }
 
   private Wanted begin(Ledger l, World w, List<Report> reports) {
-    List<Order.Place> places = Order.of(l, w, reports);
+    List<Order.Place> places = order(l, w, reports);
     if (places.isEmpty() || !places.get(0).may()) {
       return null;
     }
@@ -204,6 +204,11 @@
     return wanted(m.name() + " MOVING", l, x -> x.stage(under(x), m.name(), Stage.MOVING, s.since(), String.join("; ", first.reasons())));
   }
 
+  /** Who goes next: trials compare it with plainer orders. */
+  protected List<Order.Place> order(Ledger l, World w, List<Report> reports) {
+    return Order.of(l, w, reports);
+  }
+
   /** What stops plans now, or null. */
   private String trouble(long now, Ledger l, World w, List<Report> reports) {
     double taken = reports.stream().mapToDouble(Report::taken).sum();
--- a/src/main/java/umberrun/works/sim/WorksTrial.java
+++ b/src/main/java/umberrun/works/sim/WorksTrial.java
@@ -210,7 +210,7 @@
         }
         Driver.Wanted wanted = version < 0 ? null : driver.next(net.now(), known, world(), List.copyOf(reports.values()));
         for (Driver.Move m : version < 0 ? List.<Driver.Move>of() : driver.moves(known, world(), List.copyOf(reports.values()))) {
-          place(m.to()).copies.add(m.function());
+          moved += place(m.to()).copies.add(m.function()) ? 1 : 0;
         }
         if (wanted != null) {
           steps = true;
@@ -249,6 +249,8 @@
   private long lastFence;
   private int sends;
   private int freed;
+  private int moved;
+  private int cutOff;
 
   public WorksTrial(int frontCount, int halls, int eachHall, long seed, Maker maker) {
     this.random = new SplittableRandom(seed);
@@ -284,6 +286,15 @@
     return freed;
   }
 
+  /** Copies that were ordered elsewhere, and calls that were under way at machines as they went out. */
+  public int moved() {
+    return moved;
+  }
+
+  public int cutOff() {
+    return cutOff;
+  }
+
   public int sends() {
     return sends;
   }
@@ -374,6 +385,8 @@
       }
       if (m.stage() == Stage.MOVING) {
         begins(after, m);
+      } else if (m.stage() == Stage.GOING) {
+        cutOff += fronts.stream().mapToInt(f -> f.out.getOrDefault(m.name(), 0)).sum();
       }
     }
   }
--- a/src/test/java/saddlestall/ChoiceTest.java
+++ b/src/test/java/saddlestall/ChoiceTest.java
@@ -704,4 +704,40 @@
     }
     assertTrue(slowest > 2, "pace " + slowest);
   }
+
+  /** Others want a last copy loaded: within the ration, for a known function, never at a cold or drained worker. */
+  @Test
+  void aCopyThatOthersWantIsOrderedWithinTheRation() {
+    Bench b = new Bench(Bench.settings(true, Group.ALL), 7).list(3).call(1, SAFE, 9);
+    b.event(new Members(ListKind.DELTA, List.of(Bench.member(2, State.DRAINING, 0), Bench.member(3, State.READY, b.now - SECOND))));
+    for (int worker : new int[] {2, 3, 77}) {
+      b.event(new Wanted(worker, 9));
+    }
+    b.event(new Wanted(1, 10)); // nobody called it
+    assertEquals(0, b.all(Hold.class).size());
+    for (int i = 0; i < 5; i++) {
+      b.event(new Wanted(1, 9));
+    }
+    assertEquals(2, b.all(Hold.class).size(), "two are free, and one call earns none");
+  }
+
+  /** What others say counts where it is later than what was seen here; a benched worker is tried once it is said to answer. */
+  @Test
+  void laterHearsayBenchesAndLetsTry() {
+    Bench b = bench().list(6).call(1, SAFE, 9);
+    int worker = b.lastSend().worker();
+    b.outcome(b.lastSend(), 0, Code.OK, 20).at(100);
+    b.event(new KnownWorker(worker, 1, 1, 200 * MS, 1)).pass(100); // seen before the answer
+    assertFalse(b.choice.workers.get(worker).benched);
+    b.event(new KnownWorker(worker, 1, 1, 0, 1)).pass(100);
+    assertTrue(b.choice.workers.get(worker).benched);
+    for (int id = 2; id < 60; id++) { // said again, as a prober does
+      b.call(id, SAFE, id).pass(50);
+      b.outcome(b.lastSend(), 0, Code.OK, 50);
+      b.event(new KnownWorker(worker, 1, 1, 0, 1));
+    }
+    assertEquals(1, b.all(Send.class).stream().filter(s -> s.worker() == worker).count(), "sends that met it");
+    b.event(new KnownWorker(worker, 1, 0, 0, 1)).call(60, SAFE, 60);
+    assertEquals(worker, b.lastSend().worker(), "tried at once");
+  }
 }
