--- a/src/main/java/umberrun/works/sim/WorksTrial.java
+++ b/src/main/java/umberrun/works/sim/WorksTrial.java
@@ -57,7 +57,8 @@
   private static final long REPORT = 300 * MS;
   private static final long COLD = 3 * SECOND;
   private static final long WORK = 2 * SECOND;
-  private static final int FUNCTIONS = 12;
+  private static final int FEW_FUNCTIONS = 12;
+  private static final int COPIES_EACH = 4;
 
   /** A machine as it is. */
   private static final class Place {
@@ -157,7 +158,7 @@
         if (p.listed && !applied.containsKey(p.name)) {
           out.merge(p.name, 1, Integer::sum);
           Map<String, Integer> mine = out;
-          String function = "f" + random.nextInt(FUNCTIONS);
+          String function = "f" + random.nextInt(functions);
           net.at(net.now() + net.delay(), () -> arrive(p, function, self));
           long takes = random.nextInt(200) == 0 ? 4 * SECOND : random.nextLong(300 * MS);
           net.at(number, net.now() + 10 * MS + takes, () -> mine.merge(p.name, -1, Integer::sum));
@@ -242,6 +243,8 @@
   private final List<Front> fronts = new ArrayList<>();
   private final List<Place> places = new ArrayList<>();
   private final int register;
+  /** Twice the machines, so that many a copy is the last one; few where there are few machines. */
+  private final int functions;
   private Ledger ledger = Ledger.EMPTY;
   private long version;
   private boolean reachable = true;
@@ -256,13 +259,14 @@
     this.random = new SplittableRandom(seed);
     this.maker = maker;
     this.register = frontCount;
+    this.functions = Math.max(FEW_FUNCTIONS, halls * eachHall > FEW_FUNCTIONS ? 2 * halls * eachHall : 0);
     this.net = new VirtualNetwork(frontCount + 1, random.split());
     net.links(0, 0.02, 200, 5_000);
     for (int h = 0; h < halls; h++) {
       for (int i = 0; i < eachHall; i++) {
         Place p = new Place("w" + h + i, "hall" + h);
-        for (int f = 0; f < FUNCTIONS; f += 1 + random.nextInt(FUNCTIONS)) {
-          p.copies.add("f" + f);
+        for (int f = 0; f < COPIES_EACH; f++) {
+          p.copies.add("f" + random.nextInt(functions));
         }
         places.add(p);
       }
@@ -368,8 +372,8 @@
       throw new Broken(from + " sent to " + p.name + ", which is free for work, at " + net.now());
     }
     p.copies.add(function);
-    if (p.copies.size() > FUNCTIONS / 3) {
-      p.copies.remove(p.copies.iterator().next());
+    if (p.copies.size() > COPIES_EACH) {
+      p.copies.remove(p.copies.stream().sorted().skip(random.nextInt(p.copies.size())).findFirst().orElseThrow());
     }
   }
 
