Mend a test of the view that took a suspicion for a death

Cause: the test waited until the others told n2 as no longer alive, for which a suspicion was enough, and then wanted a line 'accused self' in its log. In the build's run n2 had said a newer claim of itself just before the stop (its state, four such lines in the log), so that the suspicion was of an older incarnation, which needs no refuting, and no line came. Ruled out: a refutation that was lost (all six told the same, n2 alive). Now all five must hold it dead, and afterwards each tells an incarnation after the one that was held dead.

--- a/src/test/java/umberrun/FleetProcessesIT.java
+++ b/src/test/java/umberrun/FleetProcessesIT.java
@@ -81,19 +81,38 @@
     assertTrue(learned, learned.contains("facts of use from") && !learned.contains("from 0 peers"));
   }
 
-  /** Stopped for longer than a suspicion lasts, it is held dead; let go on, it is told, refutes, and accuses nobody. */
+  /**
+   * Stopped for longer than a suspicion lasts, it is held dead by all; let go on, it refutes, and accuses nobody. Whether it logs
+   * an accusation is no part of this: what it said just before the stop may be newer than what the others held dead.
+   */
   @Test
   public void aStoppedOneComesBack() throws Exception {
     int before = node(2).said().length();
     node(2).signal("STOP");
-    fleet.awaitView(BOUND_SECONDS, 0, 1, 3, 4, 5);
+    long held = -1;
+    for (int i : new int[] {0, 1, 3, 4, 5}) {
+      Processes.await("n" + i + " does not hold n2 dead", BOUND_SECONDS, () -> told(i).get("status").getAsString().equals("dead"));
+      held = Math.max(held, told(i).get("incarnation").getAsLong());
+    }
     node(2).signal("CONT");
     fleet.awaitView(BOUND_SECONDS, ALL);
+    for (int i : ALL) {
+      assertTrue(told(i) + " after " + held, told(i).get("incarnation").getAsLong() > held);
+    }
     String since = node(2).said().substring(before);
-    assertTrue(since, since.contains("accused self"));
     assertFalse(since, since.contains("\"died\""));
   }
 
+  /** What a front end tells of n2. */
+  private static JsonObject told(int at) throws Exception {
+    for (JsonElement m : node(at).view().getAsJsonArray("members")) {
+      if (m.getAsJsonObject().get("name").getAsString().equals("n2")) {
+        return m.getAsJsonObject();
+      }
+    }
+    throw new AssertionError("n" + at + " knows no n2");
+  }
+
   /** Each half sees itself, and nobody takes the share of the other half, which lives. */
   @Test
   public void aPartitionHealsByItself() throws Exception {
