Explore leases too: two candidates, three voters, clocks that step, pauses, crashes

It is now one search (umberrun.sim.Explorer, which copies worlds and uses all cores) with two worlds: the registers, where messages come in every order, and a duty with two candidates, where a phase reaches two voters at once and single, late and lost messages are drawn on a budget. All orders of single messages in the second were tried first and ruled out: over 200,000 states before the first lease has ended.

--- a/src/main/java/umberrun/agreement/Ballot.java
+++ b/src/main/java/umberrun/agreement/Ballot.java
@@ -9,4 +9,9 @@
   public int compareTo(Ballot o) {
     return round != o.round ? Long.compare(round, o.round) : proposer.compareTo(o.proposer);
   }
+
+  @Override
+  public String toString() {
+    return round + "." + proposer;
+  }
 }
--- a/src/main/java/umberrun/agreement/Proposer.java
+++ b/src/main/java/umberrun/agreement/Proposer.java
@@ -5,7 +5,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
-import java.util.TreeSet;
+import java.util.function.UnaryOperator;
 import java.util.random.RandomGenerator;
 import umberrun.agreement.Message.Accept;
 import umberrun.agreement.Message.Accepted;
@@ -172,14 +172,42 @@
   }
 
   /** Whether an answer may still make a difference. */
-  boolean awaits(Message m) {
+  public boolean awaits(Message m) {
     return isBusy() && m.op() == op && !waits && (m instanceof Refused || (looking ? m instanceof Looked
         : accepting ? m instanceof Accepted : m instanceof Promised));
   }
 
-  /** All that decides what it does next, for the explorer. */
-  String state() {
-    return op + " " + round + " " + isBusy() + " " + looking + looked + accepting + waits + " " + newest + " " + value + " " + new TreeSet<>(yes);
+  /** Whether a question or an answer belongs to the phase that it is in. */
+  public boolean isOf(Message m) {
+    return m.op() == op && (looking ? m instanceof Look || m instanceof Looked : accepting ? m instanceof Accept || m instanceof Accepted
+        : m instanceof Prepare || m instanceof Promised) || m.op() == op && m instanceof Refused;
+  }
+
+  /** Goes on where another of the same name is, for explorers; {@code same} is its change as this one is to make it. */
+  public void copyFrom(Proposer o, UnaryOperator<Change> same) {
+    round = o.round;
+    op = o.op;
+    register = o.register;
+    change = o.change == null ? null : same.apply(o.change);
+    until = o.until;
+    backoff = o.backoff;
+    yes.addAll(o.yes);
+    newest = o.newest;
+    value = o.value;
+    looking = o.looking;
+    looked.putAll(o.looked);
+    accepting = o.accepting;
+    waits = o.waits;
+  }
+
+  /** All that decides what it does next but for who has said yes and how its tries are numbered, by which explorers tell states apart. */
+  public String state() {
+    return round + " " + isBusy() + " " + looking + looked + accepting + waits + " " + newest + " " + value;
+  }
+
+  /** Whether a voter has said yes in this phase. */
+  public boolean hasYesOf(String voter) {
+    return yes.contains(voter);
   }
 
   private boolean isMajority() {
--- a/src/main/java/umberrun/agreement/Value.java
+++ b/src/main/java/umberrun/agreement/Value.java
@@ -17,4 +17,9 @@
   public Value next(String other) {
     return new Value(version + 1, other);
   }
+
+  @Override
+  public String toString() {
+    return version + ":" + text;
+  }
 }
--- a/src/main/java/umberrun/agreement/Voter.java
+++ b/src/main/java/umberrun/agreement/Voter.java
@@ -19,6 +19,11 @@
   /** What is remembered of a register. */
   public record Slot(Ballot promised, Ballot accepted, Value value) {
     static final Slot NONE = new Slot(Ballot.NONE, Ballot.NONE, Value.NONE);
+
+    @Override
+    public String toString() {
+      return promised + " " + accepted + " " + value;
+    }
   }
 
   /** An answer, and what must be on disk, with all before it, before it leaves; {@code slot} null where nothing has changed. */
--- a/src/main/java/umberrun/lease/Claimant.java
+++ b/src/main/java/umberrun/lease/Claimant.java
@@ -35,6 +35,25 @@
     void hands(long fence, String cause);
   }
 
+  /** A change of the version that was seen, which does nothing to any other. */
+  private static final class Step implements Change {
+    final long version;
+    final UnaryOperator<Lease> change;
+    /** Whether it made a new version at its last try. */
+    boolean made;
+
+    Step(long version, UnaryOperator<Lease> change) {
+      this.version = version;
+      this.change = change;
+    }
+
+    @Override
+    public Value apply(Value v) {
+      made = v.version() == version;
+      return made ? v.next(change.apply(Lease.read(v)).text()) : v;
+    }
+  }
+
   private static final int RENEW_PART = 3;
   /** Lengths between two looks of one that does not watch: it takes what nobody takes all the same. */
   private static final int FAR = 3;
@@ -53,8 +72,7 @@
   private long freeSince;
   private boolean asking;
   private long askedAt;
-  /** Whether the change that was asked for last made a new version at its last try. */
-  private boolean made;
+  private Step step;
   private long fence = -1;
   private long holdsUntil;
 
@@ -157,6 +175,32 @@
     }
   }
 
+  /** Goes on where another of the same process is, for explorers; the change that it now waits for, or null. */
+  public Change copyFrom(Claimant o) {
+    seen = o.seen;
+    seenAt = o.seenAt;
+    known = o.known;
+    fit = o.fit;
+    close = o.close;
+    delay = o.delay;
+    freeSince = o.freeSince;
+    asking = o.asking;
+    askedAt = o.askedAt;
+    if (o.step != null) {
+      step = new Step(o.step.version, o.step.change);
+      step.made = o.step.made;
+    }
+    fence = o.fence;
+    holdsUntil = o.holdsUntil;
+    return step;
+  }
+
+  /** All that decides what it does next, with times as they are from {@code now} on, by which explorers tell states apart. */
+  public String state(long now) {
+    return fence + " " + left(now) + " " + seen + " " + (known ? seenAt - now : 0) + " " + fit + close + delay + " "
+        + (asking ? now - askedAt : -1) + (step == null ? "" : step.version + " " + step.made);
+  }
+
   private long takeAt(Lease l) {
     return (l.isHeld() ? freeAt(l) : seenAt) + delay;
   }
@@ -183,29 +227,20 @@
     return new Lease(name, startId, l.fence() + 1, settings.length());
   }
 
-  /** Asks for a change of the version that was seen, which does nothing to any other. */
   private void ask(long now, UnaryOperator<Lease> change) {
-    long version = seen.version();
-    propose(now, v -> {
-      made = v.version() == version;
-      return made ? v.next(change.apply(Lease.read(v)).text()) : v;
-    });
+    begin(now, new Step(seen.version(), change));
+    out.propose(step, now + settings.patience());
   }
 
   private void watch(long now) {
-    begin(now);
+    begin(now, null);
     out.read(now + settings.patience());
   }
 
-  private void propose(long now, Change change) {
-    begin(now);
-    out.propose(change, now + settings.patience());
-  }
-
-  private void begin(long now) {
+  private void begin(long now, Step what) {
     asking = true;
     askedAt = now;
-    made = false;
+    step = what;
   }
 
   /** A change is over: what the register held then, or null where that is not known. */
@@ -222,7 +257,7 @@
       known = true;
     }
     Lease l = Lease.read(v);
-    if (l.isOf(name, startId) && fit && counts(made)) {
+    if (l.isOf(name, startId) && fit && counts(step != null && step.made)) {
       holdsUntil = countsFrom(askedAt, now) + (long) (settings.length() * (1 - settings.rate()));
       if (fence != l.fence()) {
         fence = l.fence();
--- /dev/null
+++ b/src/test/java/umberrun/lease/LeaseWorldTest.java
@@ -0,0 +1,102 @@
+package umberrun.lease;
+
+import static org.junit.Assert.assertNotNull;
+import static org.junit.Assert.assertNull;
+import static org.junit.Assert.assertTrue;
+
+import org.junit.Test;
+import umberrun.lease.sim.LeaseTrial.Fault;
+import umberrun.lease.sim.LeaseTrial.Maker;
+import umberrun.lease.sim.LeaseWorld;
+import umberrun.lease.sim.LeaseWorld.Bounds;
+import umberrun.sim.Explorer;
+
+/** One duty, two candidates and three voters in all courses of small cases, and variants broken on purpose that must be caught. */
+public class LeaseWorldTest {
+  private static final int MOST = 3_000_000;
+
+  private static Explorer of(Bounds bounds, Maker maker, Fault fault) {
+    return new Explorer(new LeaseWorld(bounds, maker, fault), MOST);
+  }
+
+  private static void holds(Bounds bounds, int least) {
+    Explorer e = of(bounds, Claimant::new, Fault.NONE);
+    assertNull(e.explore());
+    assertTrue(bounds + ": " + e.states(), e.isThrough() && e.states() >= least);
+  }
+
+  private static void isCaught(Bounds bounds, Maker maker, Fault fault) {
+    assertNotNull(bounds.toString(), of(bounds, maker, fault).explore());
+  }
+
+  /** Through the end of a lease and its renewals, with a clock that is slow and one that is fast, and an act that arrives at any time. */
+  @Test
+  public void oneAtMostActsWhateverTheOrder() {
+    holds(new Bounds(false, 3, 0, 0, 0, 0, 1, 0), 80_000);
+  }
+
+  /** Clocks change from one tick to the next. */
+  @Test
+  public void clocksMayStep() {
+    holds(new Bounds(true, 2, 0, 0, 0, 0, 0, 0), 10_000);
+  }
+
+  /** Lost and late answers, further tries, a voter that crashes, a candidate that begins anew, a duty given back. */
+  @Test
+  public void faultsOfEachKind() {
+    holds(new Bounds(false, 2, 1, 0, 0, 0, 0, 0), 10_000);
+    holds(new Bounds(false, 2, 0, 1, 0, 0, 0, 0), 10_000);
+    holds(new Bounds(false, 1, 0, 0, 0, 1, 0, 1), 10_000);
+  }
+
+  /** Guards the checks: a voter that answers before its promise is on disk. */
+  @Test
+  public void aVariantThatSkipsTheSyncIsCaught() {
+    isCaught(new Bounds(false, 3, 0, 0, 1, 0, 0, 0), Claimant::new, Fault.SKIPS_SYNC);
+  }
+
+  /** Guards the checks: a voter that votes on without what it had promised. */
+  @Test
+  public void aVariantThatVotesAfterLosingItsFolderIsCaught() {
+    isCaught(new Bounds(false, 3, 0, 0, 1, 0, 0, 0), Claimant::new, Fault.VOTES_WITHOUT_FOLDER);
+  }
+
+  /** Guards the checks: one to whom acts come, and who does not look at their fences. */
+  @Test
+  public void aVariantThatTakesOldFencesIsCaught() {
+    isCaught(new Bounds(false, 4, 0, 0, 0, 0, 2, 0), Claimant::new, Fault.TAKES_OLD_FENCES);
+  }
+
+  /** Guards the checks: a holder that counts from the answer in place of the question. */
+  @Test
+  public void aVariantThatCountsFromTheAnswerIsCaught() {
+    isCaught(new Bounds(false, 3, 1, 0, 0, 0, 0, 0), (s, name, id, random, out) -> new Claimant(s, name, id, random, out) {
+      @Override
+      protected long countsFrom(long asked, long answered) {
+        return answered;
+      }
+    }, Fault.NONE);
+  }
+
+  /** Guards the checks: one that takes a lease without the allowance for clocks that run apart. */
+  @Test
+  public void aVariantThatIgnoresTheRatesOfClocksIsCaught() {
+    isCaught(new Bounds(false, 3, 0, 0, 0, 0, 0, 0), (s, name, id, random, out) -> new Claimant(s, name, id, random, out) {
+      @Override
+      protected long freeAt(Lease l) {
+        return super.freeAt(l) - (long) (2 * s.rate() * l.length()) - s.pause();
+      }
+    }, Fault.NONE);
+  }
+
+  /** Guards the checks: a holder that counts a lease of its own from when it read it, and not from when it asked for it. */
+  @Test
+  public void aVariantThatCountsWhatItReadIsCaught() {
+    isCaught(new Bounds(false, 3, 1, 0, 0, 0, 0, 0), (s, name, id, random, out) -> new Claimant(s, name, id, random, out) {
+      @Override
+      protected boolean counts(boolean madeNow) {
+        return true;
+      }
+    }, Fault.NONE);
+  }
+}
