Agreement over slow links, spoilt bytes, and commands that die: mended and tried

Seen: with 250 ms each way no change of a register was ever done (a process test waited 12 s in vain): both phases had to end within the 300 ms of one try, and each try began anew. The wait for answers now doubles with each try that brings no majority. Found by spoilt bytes: a set of voters with a key that has no folder id got through and failed outside the guard; so did a register that is no lease, and a ledger of works without its lists; they are refused where they are read.

--- a/src/main/java/umberrun/agreement/Proposer.java
+++ b/src/main/java/umberrun/agreement/Proposer.java
@@ -53,6 +53,8 @@
   private Change change;
   private long until;
   private long backoff;
+  /** For the answers to the next try: twice as long after each that brought no majority. */
+  private long wait;
   /** Those that said yes in this phase; the newest of what they had accepted. */
   private final Set<String> yes = new HashSet<>();
   private Ballot newest;
@@ -65,7 +67,7 @@
 
   /**
    * @param name its own, among all that propose; another with each start, as rounds are not remembered
-   * @param patience for the answers to one try
+   * @param patience for the answers to the first try of a change; longer for the next ones, as a link may be slower than that
    */
   public Proposer(String name, List<String> voters, long patience, RandomGenerator random, Outbox out) {
     this.name = name;
@@ -105,7 +107,7 @@
     next();
     looking = true;
     voters.forEach(v -> out.send(v, new Look(op, register)));
-    out.retry(Math.min(until, now + patience));
+    out.retry(Math.min(until, now + wait));
   }
 
   private void begin(String register, Change change, long until) {
@@ -116,6 +118,7 @@
     this.change = change;
     this.until = until;
     this.backoff = FIRST_BACKOFF;
+    this.wait = patience;
   }
 
   private void next() {
@@ -133,7 +136,7 @@
     next();
     round++;
     voters.forEach(v -> out.send(v, new Prepare(op, register, new Ballot(round, name))));
-    out.retry(Math.min(until, now + patience));
+    out.retry(Math.min(until, now + wait));
   }
 
   /** A voter has answered. */
@@ -191,6 +194,7 @@
     change = o.change == null ? null : same.apply(o.change);
     until = o.until;
     backoff = o.backoff;
+    wait = o.wait;
     yes.addAll(o.yes);
     newest = o.newest;
     value = o.value;
@@ -202,7 +206,7 @@
 
   /** All that decides what it does next but for who has said yes and how its tries are numbered, by which explorers tell states apart. */
   public String state() {
-    return round + " " + isBusy() + " " + looking + looked + accepting + waits + " " + newest + " " + value;
+    return round + " " + wait + " " + isBusy() + " " + looking + looked + accepting + waits + " " + newest + " " + value;
   }
 
   /** Whether a voter has said yes in this phase. */
@@ -219,6 +223,7 @@
     if (isBusy() && now >= until) {
       end(null);
     } else if (isBusy()) {
+      wait = waits || looking && isMajority() ? wait : 2 * wait;
       attempt(now);
     }
   }
--- a/src/main/java/umberrun/agreement/Voters.java
+++ b/src/main/java/umberrun/agreement/Voters.java
@@ -67,7 +67,15 @@
     if (parts.length != 4) {
       throw new IllegalArgumentException("no set of voters: '" + text + "'");
     }
-    return new Voters(Long.parseLong(parts[0]), split(parts[1]), parts[2].equals(NONE) ? "" : parts[2], split(parts[3]));
+    Voters v = new Voters(Long.parseLong(parts[0]), split(parts[1]), parts[2].equals(NONE) ? "" : parts[2], split(parts[3]));
+    if (!v.keys.stream().allMatch(Voters::isKey) || !v.former.stream().allMatch(Voters::isKey) || !v.leaving.isEmpty() && !isKey(v.leaving)) {
+      throw new IllegalArgumentException("no keys of voters: '" + text + "'");
+    }
+    return v;
+  }
+
+  private static boolean isKey(String text) {
+    return text.lastIndexOf('#') > 0;
   }
 
   private static String join(List<String> all) {
--- a/src/main/java/umberrun/lease/Claimant.java
+++ b/src/main/java/umberrun/lease/Claimant.java
@@ -246,7 +246,7 @@
   /** A change is over: what the register held then, or null where that is not known. */
   public void changed(long now, Value v) {
     asking = false;
-    if (v == null) { // what was seen, and when, still holds: if it was replaced, its version is another by now
+    if (v == null || !isLease(v)) { // what was seen, and when, still holds: if it was replaced, its version is another by now
       rest(now, settings.length() / RENEW_PART / 2);
       return;
     }
@@ -276,6 +276,15 @@
     }
   }
 
+  /** Guards against what was written by none of us: of such a register nobody takes anything. */
+  private static boolean isLease(Value v) {
+    try {
+      return Lease.read(v) != null;
+    } catch (IllegalArgumentException e) {
+      return false;
+    }
+  }
+
   /** Waits for between one and one and a half of a time, so that many do not ask at one moment. */
   private void rest(long now, long time) {
     out.wake(now + (long) (time * (1 + random.nextDouble() / 2)));
--- a/src/main/java/umberrun/lease/Lease.java
+++ b/src/main/java/umberrun/lease/Lease.java
@@ -13,12 +13,15 @@
 public record Lease(String holder, long startId, long fence, long length) {
   static final Lease NONE = new Lease("", 0, 0, 0);
 
-  /** What a register holds. */
+  /** What a register holds; fails with {@link IllegalArgumentException} where that is no lease. */
   public static Lease read(Value v) {
     if (v.text().isEmpty()) {
       return NONE;
     }
     String[] parts = v.text().split(" ", 4); // the name comes last: whatever is in it, the rest can be told apart
+    if (parts.length != 4) {
+      throw new IllegalArgumentException("no lease: '" + v.text() + "'");
+    }
     return new Lease(parts[3], Long.parseLong(parts[0]), Long.parseLong(parts[1]), Long.parseLong(parts[2]));
   }
 
--- a/src/main/java/umberrun/works/Ledger.java
+++ b/src/main/java/umberrun/works/Ledger.java
@@ -87,12 +87,21 @@
   private static final int MOST_TEXT = 120;
   private static final Gson GSON = new Gson();
 
+  /** What a register holds; fails with {@link IllegalArgumentException} where that is no ledger. */
   public static Ledger read(String text) {
     if (text.isEmpty()) {
       return EMPTY;
     }
     try {
-      return GSON.fromJson(text, Ledger.class);
+      Ledger l = GSON.fromJson(text, Ledger.class);
+      boolean whole = l != null && l.plans != null && l.machines != null && l.roll != null && l.trail != null
+          && l.plans.stream().allMatch(p -> p != null && p.id != null && p.state != null && p.late != null)
+          && l.machines.stream().allMatch(m -> m != null && m.name != null && m.plan != null && m.stage != null && m.forced != null)
+          && l.roll.stream().allMatch(m -> m != null && m.name() != null && m.start() != null);
+      if (!whole) {
+        throw new IllegalArgumentException("no ledger of works");
+      }
+      return l;
     } catch (JsonParseException e) {
       throw new IllegalArgumentException("no ledger of works: " + e.getMessage(), e);
     }
