--- a/src/main/java/umberrun/works/net/WorksPart.java
+++ b/src/main/java/umberrun/works/net/WorksPart.java
@@ -89,6 +89,8 @@
   /** Bans that hold here by now. */
   private Map<String, Long> applied = Map.of();
   private Map<String, Long> applying = Map.of();
+  /** Members that were asked for the ledger at the start. */
+  private final Set<String> asked = new HashSet<>();
   private boolean joins;
   private boolean joined;
   private boolean accompanied;
@@ -164,9 +166,11 @@
     if (over || joined) {
       return;
     }
+    if (!accompanied && fleet.isOpen() && !bound.future().isComplete()) {
+      ask();
+    }
     if (!accompanied && fleet.isOpen() && !joins) {
       joins = true;
-      ask();
       change(l -> l.join(self, true), (ok, l) -> {
         joins = false;
         if (l != null && l.isOnRoll(self)) {
@@ -178,9 +182,13 @@
     vertx.setTimer(JOIN_MILLIS, t -> join(bound));
   }
 
-  /** Asks members for the ledger that they know, for where no majority answers. */
+  /** Asks each member, as soon as it is met, for the ledger that it knows, for where no majority answers. */
   private void ask() {
-    toAll(new Word(Word.Kind.ASK, crew.version(), null, null, null, null));
+    for (Peer p : fleet.peers()) {
+      if (p.claim().isLiving() && asked.add(p.claim().name())) {
+        send(p.claim().name(), new Word(Word.Kind.ASK, crew.version(), null, null, null, null));
+      }
+    }
   }
 
   /** Another process of this front end begins or ceases to run beside this one. */
