Late loops read on before they send; a half-written configuration is read again

Cause: - Owner.work ran in the same pass of the loop in which a call was read. A client's close or revoke that lay behind the call, unread, was seen a pass later, when the RUN was written: after a pause of 80 ms the test sees a RUN for a caller who had gone. Now a loop that is late by more than 50 ms works the queue off a pass later (1 ms). - Server.reload had a thread for each SIGHUP and no order between them: of two in a row the first could be carried out last, and the change log be asked at an address that tells nothing more. And a file that was half written when the signal came was never read again: the list stayed quiet for good. Now one at a time, and up to five more looks within a second.

The order of two signals' threads can't be forced by a test; seen by reading.

--- a/src/main/java/umberrun/Server.java
+++ b/src/main/java/umberrun/Server.java
@@ -43,6 +43,9 @@
   /** After SIGTERM connections and calls keep coming for at most this long. */
   private static final long ACCEPT_MILLIS = 700;
   private static final long CATCH_UP_MILLIS = 10;
+  /** A new configuration that can't be read may be half written: it is read so many times more. */
+  private static final int RELOADS = 5;
+  private static final long RELOAD_MILLIS = 200;
   private static final long LET_GO_MILLIS = 20;
   /** What has come by the end of the last answer is read within this. */
   private static final long CROSSING_MILLIS = 20;
@@ -114,12 +117,15 @@
 
   /** Takes the signals that do not end the process: unheeded, each of them would. */
   void heed(Map<String, String> env) {
-    Signal.handle(new Signal("HUP"), s -> reload(env));
+    Signal.handle(new Signal("HUP"), s -> reload(env, RELOADS));
     Signal.handle(new Signal("USR2"), s -> context.runOnContext(v -> log(counters.line())));
   }
 
-  /** Reads the configuration again. While running only the change log may move; a file that is bad changes nothing. */
-  private void reload(Map<String, String> env) {
+  /**
+   * Reads the configuration again. While running only the change log may move; a file that is bad changes nothing, and is looked at
+   * again a little later. One at a time: guards against two signals in a row of which the second is done first, as each has a thread.
+   */
+  private synchronized void reload(Map<String, String> env, int moreTries) {
     try {
       SocketAddress address = Config.read(env).changelog();
       context.runOnContext(v -> {
@@ -130,8 +136,16 @@
         log("configuration read again, the change log is at " + address);
       });
     } catch (BadConfig | RuntimeException e) { // guards against a file that is half written or wrong
-      context.runOnContext(v -> counters.add(Count.CONFIGS_REFUSED));
       log("configuration kept as it was: " + e.getMessage());
+      context.runOnContext(v -> {
+        counters.add(Count.CONFIGS_REFUSED);
+        if (moreTries > 0) {
+          vertx.setTimer(RELOAD_MILLIS, t -> vertx.executeBlocking(() -> {
+            reload(env, moreTries - 1);
+            return null;
+          }));
+        }
+      });
     }
   }
 
--- a/src/main/java/umberrun/core/Owner.java
+++ b/src/main/java/umberrun/core/Owner.java
@@ -10,7 +10,6 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
@@ -72,6 +71,7 @@
   private static final long GUARD_BACKOFF_MILLIS = 250;
   /** A machine later than this takes nothing new: what it takes it could not answer in time. */
   private static final long MOST_LAG = 150_000;
+  private static final long LITTLE_LAG = 50_000;
 
   private final Vertx vertx;
   private final Context context;
@@ -90,14 +90,7 @@
   private final Roster roster = new Roster();
   private final Bans bans;
   private final Hearsay hearsay;
-  private final Map<Long, Buffer> functions = new LinkedHashMap<>(64, 0.75f, true) {
-    private static final long serialVersionUID = 1;
-
-    @Override
-    protected boolean removeEldestEntry(Map.Entry<Long, Buffer> eldest) {
-      return size() > MOST_FUNCTIONS;
-    }
-  };
+  private final Map<Long, Buffer> functions = new Bounded<>(MOST_FUNCTIONS, true);
   /** Attempts and orders that are out, by worker. */
   private final Map<Integer, Integer> out = new HashMap<>();
   /** Workers that a prober of their hall says do not answer. */
@@ -149,8 +142,17 @@
   public void post(Runnable step) {
     queue.add(step);
     if (!scheduled) {
-      scheduled = true;
+      schedule();
+    }
+  }
+
+  /** A late machine reads on first: guards callers who have gone, as what they said behind their calls lies unread by now. */
+  private void schedule() {
+    scheduled = true;
+    if (lag.lag() <= LITTLE_LAG) {
       context.runOnContext(v -> work());
+    } else {
+      vertx.setTimer(1, t -> work());
     }
   }
 
@@ -165,8 +167,7 @@
       }
     }
     if (!queue.isEmpty() && !scheduled) {
-      scheduled = true;
-      context.runOnContext(v -> work());
+      schedule();
     }
   }
 
--- a/src/main/java/umberrun/core/Roster.java
+++ b/src/main/java/umberrun/core/Roster.java
@@ -2,7 +2,6 @@
 
 import java.util.Collections;
 import java.util.HashMap;
-import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Set;
 import java.util.zip.CRC32;
@@ -19,14 +18,7 @@
 
   private final Map<String, Entry> byName = new HashMap<>();
   private final Map<Integer, String> names = new HashMap<>();
-  private final Set<String> everListed = Collections.newSetFromMap(new LinkedHashMap<>() {
-    private static final long serialVersionUID = 1;
-
-    @Override
-    protected boolean removeEldestEntry(Map.Entry<String, Boolean> eldest) {
-      return size() > MOST_NAMES;
-    }
-  });
+  private final Set<String> everListed = Collections.newSetFromMap(new Bounded<>(MOST_NAMES, false));
 
   /** Takes in one line of the list. */
   Entry tell(Endpoint e, long now) {
--- a/src/test/java/umberrun/CrossingsTest.java
+++ b/src/test/java/umberrun/CrossingsTest.java
@@ -35,6 +35,22 @@
     }
   }
 
+  /** The machine stood still while the call came and its caller went: it is not sent, though the end lies behind it unread. */
+  @Test
+  public void aCallWhoseCallerLeftWhileTheLoopStoodIsNotSent() throws Exception {
+    try (Scenario s = Scenario.of("w1")) {
+      s.playUnseen("c1 send 1 date-lookup\nc1 close", () -> {
+        long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(80); // longer than what counts as on time
+        while (System.nanoTime() < end) {
+          Thread.onSpinWait();
+        }
+      });
+      s.await(Count.CALLS_LEFT, 0);
+      s.play("c2 send 2 date-lookup\nw1 expect RUN 2d42\nw1 send 200 n=w\nc2 expect [1,2,null");
+      assertEquals(1, s.server.counters().get(Count.ATTEMPTS_SENT));
+    }
+  }
+
   /** Its call waits for a connection: what comes up then carries others' calls alone. */
   @Test
   public void aCallWhoseCallerLeftWhileDiallingIsNotWritten() throws Exception {
@@ -280,6 +296,19 @@
     }
   }
 
+  /** The signal comes while the new file is half written: it is taken once it is whole, without another signal. */
+  @Test
+  public void aConfigurationThatIsHalfWrittenIsTakenWhenItIsWhole() throws Exception {
+    try (Scenario s = Scenario.of("w1")) {
+      s.moveRollBy(whole -> {
+        s.reload(whole.substring(0, whole.length() / 2), Count.CONFIGS_REFUSED);
+        s.write(whole);
+        s.await(Count.CONFIGS_TAKEN, 0);
+      });
+      s.join("w2");
+    }
+  }
+
   /** Idle clients hold all the places they can get while discovery is down: it comes back, and workers are reached. */
   @Test
   public void idleClientsDoNotKeepDiscoveryAway() throws Exception {
--- a/src/test/java/umberrun/Scenario.java
+++ b/src/test/java/umberrun/Scenario.java
@@ -159,7 +159,7 @@
   /** Starts the program a second time at the clients' address; parties that come now meet either. The one before. */
   Server succeed() throws Exception {
     Server before = server;
-    Files.writeString(Path.of(env.get("EDGE_CONFIG")), config(before.rpcPort()));
+    write(config(before.rpcPort()));
     server = start(env);
     return before;
   }
@@ -195,7 +195,7 @@
 
   /** Starts the program a second time as a process of its own, with a door at this port, within {@code TMPDIR}. */
   Process succeedAsProcess(Path temporary, int door, String settings) throws Exception {
-    Files.writeString(Path.of(env.get("EDGE_CONFIG")), config(server.rpcPort(), settings));
+    write(config(server.rpcPort(), settings));
     ProcessBuilder b = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-cp",
         System.getProperty("java.class.path"), "umberrun.Main", "serve").inheritIO();
     b.environment().putAll(Map.of("EDGE_CONFIG", env.get("EDGE_CONFIG"), "EDGE_OPERATOR", LOOPBACK + ":" + door,
@@ -267,14 +267,28 @@
 
   /** The change log answers elsewhere from now on, and the configuration says where. The old one stays silent. */
   void moveRoll() throws Exception {
+    moveRollBy(config -> reload(config, Count.CONFIGS_TAKEN));
+  }
+
+  /** The same with a way of one's own to put the new configuration in place. */
+  void moveRollBy(Reload reload) throws Exception {
     roll = roll();
-    reload(config(0), Count.CONFIGS_TAKEN);
+    reload.with(config(0));
+  }
+
+  interface Reload {
+    void with(String config) throws Exception;
+  }
+
+  /** Puts another configuration in place. */
+  void write(String config) throws IOException {
+    Files.writeString(Path.of(env.get("EDGE_CONFIG")), config);
   }
 
   /** Puts another configuration in place and sends the signal; returns once {@code outcome} was counted. */
   void reload(String config, Count outcome) throws Exception {
     long before = server.counters().get(outcome);
-    Files.writeString(Path.of(env.get("EDGE_CONFIG")), config);
+    write(config);
     Signal.raise(new Signal("HUP"));
     await(outcome, before);
   }
