Module: a start among cold workers alone takes the quotas for what they bear

Cause (Choice.fillColdBudget): a cold worker's share comes from what warm ones served, which is nought at a front end that has just started; where no worker is warm it stays nought until one is, and every call is held and refused. Seen in SizeTest: 120 front ends, 40 workers 5 s after their start: 0.0 calls for each in 2 s, where the settings allow 20. Change: until something was served, seven tenths of the quotas over the sizes on the list stand in (Choice.onMembers). The sum of the quotas is kept from the start, as the mix took it anew at each tick. Test: aStartAmongColdWorkersServesWithinWhatTheyBear. Ruled out: the random credit each begins with, it is below one call. Where there are no tenants there is no quota, and it stays as it was.

--- a/src/main/java/saddlestall/Choice.java
+++ b/src/main/java/saddlestall/Choice.java
@@ -101,6 +101,7 @@
 
   private final Settings settings;
   private final Random random;
+  private final double quota;
   private long now;
   private Consumer<Action> out;
 
@@ -110,6 +111,7 @@
     Checks.check(settings);
     this.settings = settings;
     siblings = divisor = settings.siblings();
+    quota = settings.tenants().stream().mapToDouble(Tenant::quotaPerSecond).sum();
     this.random = new Random(seed);
     this.now = now;
     this.out = out;
@@ -255,6 +257,9 @@
     }
     workers.values().removeIf(w -> w.state == State.GONE && w.out.isEmpty());
     listed(list);
+    if (served == 0 && !list.isEmpty()) { // guards a start among cold workers alone, which would send nothing
+      served = QUOTA_USED * quota / siblings * RATE_SPAN / list.stream().mapToDouble(w -> w.size).sum();
+    }
     retryHeld();
   }
 
@@ -308,7 +313,6 @@
     heardOf *= StrictMath.exp(-TICK / (mixSpan * SECOND));
     mixAge = Math.min(mixAge + TICK, (long) (4 * mixSpan * SECOND));
     double seconds = mixSpan * (1 - StrictMath.exp(-mixAge / (mixSpan * SECOND)));
-    double quota = settings.tenants().stream().mapToDouble(Tenant::quotaPerSecond).sum();
     double prior = QUOTA_USED * quota / siblings;
     double own = (taken + (prior > 0 ? QUOTA_CALLS : 0)) / (seconds + (prior > 0 ? QUOTA_CALLS / prior : 0));
     fleetRate = siblings * (prior > 0 ? clamp(own, prior / 2, 2 * prior) : own);
--- a/src/test/java/saddlestall/SizeTest.java
+++ b/src/test/java/saddlestall/SizeTest.java
@@ -202,4 +202,24 @@
     int rush = toNew(fronts) - before;
     assertTrue(rush <= n + 2 * Math.sqrt(n) + 2, "sent " + rush + " of " + n);
   }
+
+  /** Front ends that start among cold workers alone have seen nothing served; the quotas tell what a worker bears. */
+  @Test
+  void aStartAmongColdWorkersServesWithinWhatTheyBear() {
+    List<Bench> fronts = new ArrayList<>();
+    for (int i = 0; i < FRONTS; i++) {
+      Bench b = new Bench(settings(FRONTS), i);
+      List<Member> cold = new ArrayList<>();
+      for (int id = 101; id <= 100 + WORKERS; id++) {
+        cold.add(Bench.member(id, State.READY, b.now - 5 * SECOND));
+      }
+      fronts.add(b.event(new Members(ListKind.FULL, cold)));
+    }
+    for (int t = 0; t < 2; t++) {
+      second(fronts, 3 * t, 240);
+    }
+    double each = toNew(fronts) / (double) WORKERS;
+    double n = 3 * (0.15 + 0.85 * 6 / 15) * 7 * 2; // quotas of 400 calls a second, of which seven in ten are used
+    assertTrue(each > 1 && each <= n, "calls for each in 2 s: " + each + " of " + n);
+  }
 }
