Crossings: a revoke before the retry is written, a connection that never comes up

Both pass on the state before; the first fails where Attempt.isWanted is left out (as the dialling test does, which was tried).

--- a/src/test/java/umberrun/CrossingsTest.java
+++ b/src/test/java/umberrun/CrossingsTest.java
@@ -70,6 +70,32 @@
     }
   }
 
+  /** Its second attempt waits for a connection when the caller goes: that is not written either. */
+  @Test
+  public void aCallRevokedBeforeItsRetryIsWrittenIsNotSentAgain() throws Exception {
+    try (Scenario s = Scenario.with(PATIENT, "w1")) {
+      s.play("c1 send 1 slot-change budget=9000\nw1 expect RUN 2d41");
+      s.join("w2-held");
+      s.play("w1 close");
+      s.await(Count.ATTEMPTS_SENT, 1);
+      s.play("c1 send revoke 1");
+      s.await(Count.CALLS_LEFT, 0);
+      s.play("c2 send 2 slot-change budget=9000\nw2-held send up\nw2-held expect RUN 2d42\nw2-held send 200 n=w\n"
+          + "c2 expect [1,2,null\nw2-held wait 1");
+    }
+  }
+
+  /** A connection that never comes up costs a call the time that the settings allow for it, and no more. */
+  @Test
+  public void aCallWhoseConnectionNeverComesUpGoesElsewhere() throws Exception {
+    try (Scenario s = Scenario.of("w1-held")) {
+      s.play("c1 send 1 slot-change budget=9000");
+      s.await(Count.ATTEMPTS_SENT, 0);
+      s.join("x2");
+      s.play("x2 expect RUN 2d41\nx2 send 200 n=w\nc1 expect [1,1,null");
+    }
+  }
+
   /** A keyed call of the invoke API may be joined by a repeat, but nothing is sent for it while nobody waits. */
   @Test
   public void aKeyedCallWhoseCallerLeftIsSentAgainOnlyForARepeat() throws Exception {
