--- a/src/main/java/umberrun/Server.java
+++ b/src/main/java/umberrun/Server.java
@@ -143,7 +143,7 @@
   private static Object modified(Map<String, String> env) {
     try {
       return Files.readAttributes(Path.of(env.get("EDGE_CONFIG")), "unix:ino,lastModifiedTime,size").toString();
-    } catch (IOException e) { // not there for a moment: that changes nothing
+    } catch (IOException e) { // not there for a moment: read as a change, refused, and read again
       return "";
     }
   }
