A link that ends drops what it has not written: nothing reaches a drained worker later

Cause: Link.end called the library's NetSocket.close, which first writes all that is pending. Seen by a probe of 20 MB to a reader that stands still: close was called, the reader read on 1.5 s later and got all 20 MB. So WorkerPool.closeStuck, which is to keep the drain rule on a full connection, did not: RUNs went out whenever the worker read on, also for callers who had gone, and the descriptor stayed meanwhile though the account had it back. Ruled out: Channel.close from the channel, which the library's handler turns into the same; it has to start behind that handler. Change: the handler context's close.

--- a/src/main/java/umberrun/worker/Link.java
+++ b/src/main/java/umberrun/worker/Link.java
@@ -1,5 +1,6 @@
 package umberrun.worker;
 
+import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelOutboundBuffer;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
@@ -51,6 +52,7 @@
   private boolean retired;
   private boolean closed;
 
+  /** @param idleMillis after which it is closed while nothing is out on it; 0 for never */
   Link(Vertx vertx, Clock clock, Home home, long idleMillis) {
     this.vertx = vertx;
     this.clock = clock;
@@ -190,8 +192,7 @@
 
   /** Whether bytes handed to the connection have not left this process yet. */
   boolean isStuck() {
-    ChannelOutboundBuffer unsent = socket == null ? null
-        : ((NetSocketInternal) socket).channelHandlerContext().channel().unsafe().outboundBuffer();
+    ChannelOutboundBuffer unsent = socket == null ? null : handlers().channel().unsafe().outboundBuffer();
     return unsent != null && unsent.totalPendingWriteBytes() > 0;
   }
 
@@ -199,6 +200,10 @@
     end(Code.RESET);
   }
 
+  private ChannelHandlerContext handlers() {
+    return ((NetSocketInternal) socket).channelHandlerContext();
+  }
+
   private void flush() {
     while (socket != null && !closed && !waiting.isEmpty() && !socket.writeQueueFull()) {
       Exchange x = waiting.poll();
@@ -276,7 +281,9 @@
     cancelStuck();
     cancelSilent();
     if (socket != null) {
-      socket.close();
+      // Past the library's close, which waits until all is written: guards rule 3, callers who have gone and the descriptors against
+      // a worker that reads on when its commands have long been given up.
+      handlers().close();
     }
     List<Exchange> sent = new ArrayList<>(out.values());
     List<Exchange> unsent = new ArrayList<>(waiting);
@@ -301,7 +308,7 @@
 
   /** Closes before the worker would: a command that crosses its close would count as one that may have run. */
   private void watchIdle() {
-    if (load() == 0 && !closed && socket != null) {
+    if (load() == 0 && !closed && socket != null && idleMillis > 0) {
       cancelIdle();
       idleTimer = vertx.setTimer(idleMillis, t -> close());
     }
--- a/src/test/java/umberrun/worker/WorkerPoolTest.java
+++ b/src/test/java/umberrun/worker/WorkerPoolTest.java
@@ -7,11 +7,17 @@
 import io.vertx.core.Context;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
 import org.junit.Test;
+import saddlestall.Dispatcher.Code;
 import saddlestall.Dispatcher.State;
 import saddlestall.benchlink.SettingsJson;
 import umberrun.admission.Account;
@@ -70,6 +76,57 @@
     }
   }
 
+  /** A worker does not read when its link ends, as with a drain that finds it stuck; when it reads on, the rest does not come. */
+  @Test
+  public void whatWasNotWrittenYetWhenALinkEndsIsNotWritten() throws Exception {
+    Vertx vertx = Vertx.vertx();
+    int bytes = 32 << 20; // more than the system takes in for a reader that does not read
+    try (ServerSocket worker = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+      CompletableFuture<Code> end = new CompletableFuture<>();
+      vertx.runOnContext(v -> {
+        Link link = new Link(vertx, new Clock(), new Link.Home() {
+          @Override
+          public boolean mayStart(long now) {
+            return true;
+          }
+
+          @Override
+          public void closed(Link l) { }
+        }, 60_000);
+        vertx.createNetClient().connect(worker.getLocalPort(), "127.0.0.1").onSuccess(s -> {
+          link.opened(s);
+          link.submit(command(bytes, end));
+          assertTrue(link.isStuck());
+          link.close();
+        });
+      });
+      try (Socket s = worker.accept()) {
+        assertEquals(Code.RESET, end.get(10, TimeUnit.SECONDS));
+        long read = s.getInputStream().transferTo(OutputStream.nullOutputStream());
+        assertTrue(read + " bytes", read < bytes);
+      }
+    } finally {
+      vertx.close();
+    }
+  }
+
+  private static Exchange command(int bytes, CompletableFuture<Code> end) {
+    return new Exchange(Buffer.buffer("9b1f"), Long.MAX_VALUE / 2) {
+      @Override
+      Buffer command(long now) {
+        return Buffer.buffer(new byte[bytes]);
+      }
+
+      @Override
+      void answered(List<Buffer> parts) { }
+
+      @Override
+      void lost(Code code) {
+        end.complete(code);
+      }
+    };
+  }
+
   /** Workers of any number that all listen at one port, and the way to them, within 256 descriptors. */
   private static final class Fleet implements AutoCloseable {
     private final Vertx vertx = Vertx.vertx();
