The mark of a shared folder is whole from its first instant

Cause: Handover.folder created the mark and then wrote it. A second process of the same front end that started in between read an empty mark, took the folder for another deployment's and went to a folder of its own, for good: neither saw the other's bans. Change: written beside it and linked in place, which fails where there is one. Test: twoThatStartAtOnceShareAFolder, fails without it.

--- a/src/main/java/umberrun/handover/Handover.java
+++ b/src/main/java/umberrun/handover/Handover.java
@@ -7,7 +7,6 @@
 import java.nio.file.FileAlreadyExistsException;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.nio.file.StandardOpenOption;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -74,11 +73,15 @@
   public static Path folder(Path temporary, String name, String deployment) throws IOException {
     Path folder = Files.createDirectories(temporary.resolve("umberrun-" + name));
     Path mark = folder.resolve("deployment");
+    Path written = Files.writeString(Files.createTempFile(folder, "deployment", ""), deployment);
     try {
-      Files.writeString(mark, deployment, StandardOpenOption.CREATE_NEW, StandardOpenOption.WRITE);
+      // Whole from the first instant: guards two that start at once, the second of which would read half a mark and go elsewhere.
+      Files.createLink(mark, written);
       return folder;
     } catch (FileAlreadyExistsException e) {
       return Files.readString(mark).equals(deployment) ? folder : temporary.resolve("umberrun-" + name + "-" + deployment);
+    } finally {
+      Files.delete(written);
     }
   }
 
--- a/src/test/java/umberrun/handover/LedgerTest.java
+++ b/src/test/java/umberrun/handover/LedgerTest.java
@@ -11,7 +11,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.BrokenBarrierException;
+import java.util.concurrent.Callable;
 import java.util.concurrent.CyclicBarrier;
+import java.util.concurrent.FutureTask;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.junit.Before;
 import org.junit.Rule;
@@ -35,6 +37,22 @@
     return new Ledger(shared, id, said::add);
   }
 
+  /** Two processes of one front end that start at the same instant, for the first time ever: both share one folder. */
+  @Test
+  public void twoThatStartAtOnceShareAFolder() throws Exception {
+    for (int round = 0; round < 200; round++) {
+      Path temporary = folder.newFolder().toPath();
+      CyclicBarrier start = new CyclicBarrier(2);
+      Callable<Path> first = () -> {
+        start.await();
+        return Handover.folder(temporary, "n1", "0badcafe");
+      };
+      FutureTask<Path> other = new FutureTask<>(first);
+      new Thread(other).start();
+      assertEquals(first.call(), other.get());
+    }
+  }
+
   /** Guards a process that begins against one that looks for the dead at that moment: it would be missed for as long as it lives. */
   @Test
   public void oneThatBeginsIsNotTakenForDead() throws Exception {
