A limit that the settings lack is none, no longer one deployment's figure

Change: no idle close, no limit of streams, the most patient client's time for orders, the library's limit for connecting.

--- a/src/main/java/umberrun/config/Config.java
+++ b/src/main/java/umberrun/config/Config.java
@@ -36,7 +36,10 @@
 public record Config(String name, SocketAddress listen, long seed, int sockets, int memoryMb, SocketAddress changelog,
     JsonObject known, Settings settings, Names names, SocketAddress door, OperatorFile file) {
 
-  /** The names that the settings give to places, in order; the module knows positions only. */
+  /**
+   * The names that the settings give to places, in order; the module knows positions only. With them what they say of connections: a
+   * limit that they lack is none, {@code idleCloseMillis} then 0; and for how long an order to load is waited for.
+   */
   public record Names(List<String> classes, List<String> tenants, List<String> zones, List<String> kinds,
       long idleCloseMillis, int streamsPerConnection, long orderMillis) { }
 
@@ -143,14 +146,25 @@
   private static Names names(JsonObject s) throws BadConfig {
     JsonObject limits = object(s, "Limits");
     Names names = new Names(list(s, "Classes"), list(s, "Tenants"), list(s, "Zones"), list(s, "Kinds"),
-        positive(limits, "IdleClose", 15_000), (int) positive(limits, "StreamsPerConn", 100),
-        positive(object(s, "FamilyInfo"), "OrderLimit", 10_000));
+        positive(limits, "IdleClose", 0), (int) Math.min(Integer.MAX_VALUE, positive(limits, "StreamsPerConn", Integer.MAX_VALUE)),
+        positive(object(s, "FamilyInfo"), "OrderLimit", longestGiveUp(s)));
     if (names.classes.isEmpty() || new HashSet<>(names.classes).size() < names.classes.size()) {
       throw new BadConfig("settings.Classes must name at least one class, and each but once");
     }
     return names;
   }
 
+  /** In milliseconds: what takes longer than the most patient client waits is of no use to any. */
+  private static long longestGiveUp(JsonObject s) {
+    long longest = 1;
+    if (s.get("Classes") instanceof JsonArray classes) {
+      for (JsonElement c : classes) {
+        longest = Math.max(longest, positive(c.getAsJsonObject(), "GiveUp", 1));
+      }
+    }
+    return longest;
+  }
+
   private static List<String> list(JsonObject s, String key) {
     List<String> names = new ArrayList<>();
     if (s.get(key) instanceof JsonArray a) {
--- a/src/main/java/umberrun/worker/WorkerPool.java
+++ b/src/main/java/umberrun/worker/WorkerPool.java
@@ -52,8 +52,11 @@
     this.settings = settings;
     this.names = names;
     this.account = account;
-    this.client = vertx.createNetClient(new NetClientOptions().setTcpNoDelay(true)
-        .setConnectTimeout((int) Math.max(1, settings.limits().connectTimeout() / 1_000)));
+    NetClientOptions options = new NetClientOptions().setTcpNoDelay(true);
+    if (settings.limits().connectTimeout() > 0) { // else what waits for a connection ends by its own time
+      options.setConnectTimeout((int) Math.max(1, settings.limits().connectTimeout() / 1_000));
+    }
+    this.client = vertx.createNetClient(options);
   }
 
   /** One worker's address and connections. */
