The list: an unreadable event is passed over, a move ends what the old log was asked

Only a line within an event was passed over before. Now an event is, and counted. What is asked is kept now, and ends with the move. (PollerTest.theOldServerIsNotAskedAfterAMove) - The body of an answer was bounded by time alone; 4 MB now. (anAnswerWithoutAnEndIsGivenUp)

--- a/src/main/java/umberrun/roll/ChangeLog.java
+++ b/src/main/java/umberrun/roll/ChangeLog.java
@@ -59,21 +59,29 @@
   private void take(JsonObject events) {
     if (events.get("results") instanceof JsonArray results) {
       for (JsonElement e : results) {
-        JsonObject event = e.getAsJsonObject();
-        long seq = event.get("seq").getAsLong();
-        if (seq > seen && event.get("fleet") instanceof JsonObject fleet) {
-          JsonArray lines = fleet.getAsJsonArray("endpoints");
-          List<Endpoint> endpoints = Json.each(lines, this::endpoint, counters);
-          // A whole list with a line that can't be read is not taken for whole: the worker in it would be gone.
-          boolean whole = fleet.has("snapshot") && fleet.get("snapshot").getAsBoolean() && endpoints.size() == lines.size();
-          owner.list(!whole ? ListKind.DELTA : seen == 0 ? ListKind.CACHED : ListKind.FULL, endpoints);
-        }
-        seen = Math.max(seen, seq);
+        // One that can't be read is passed over, as a line is: guards the list against the same event with each poll, for good.
+        Json.readable(() -> {
+          take(e.getAsJsonObject().get("seq").getAsLong(), e.getAsJsonObject());
+          return null;
+        }, counters);
       }
     }
     seen = Math.max(seen, (long) number(events, "seq"));
   }
 
+  private void take(long seq, JsonObject event) {
+    boolean first = seen == 0;
+    boolean news = seq > seen;
+    seen = Math.max(seen, seq);
+    if (news && event.get("fleet") instanceof JsonObject fleet) {
+      JsonArray lines = fleet.getAsJsonArray("endpoints");
+      List<Endpoint> endpoints = Json.each(lines, this::endpoint, counters);
+      // A whole list with a line that can't be read is not taken for whole: the worker in it would be gone.
+      boolean whole = fleet.has("snapshot") && fleet.get("snapshot").getAsBoolean() && endpoints.size() == lines.size();
+      owner.list(!whole ? ListKind.DELTA : first ? ListKind.CACHED : ListKind.FULL, endpoints);
+    }
+  }
+
   private Endpoint endpoint(JsonObject o) {
     String address = o.get("address").getAsString();
     int colon = address.lastIndexOf(':');
--- a/src/main/java/umberrun/roll/Json.java
+++ b/src/main/java/umberrun/roll/Json.java
@@ -6,6 +6,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.Function;
+import java.util.function.Supplier;
 import umberrun.core.Endpoint;
 import umberrun.stats.Counters;
 import umberrun.stats.Counters.Count;
@@ -33,16 +34,25 @@
   static List<Endpoint> each(JsonArray lines, Function<JsonObject, Endpoint> reader, Counters counters) {
     List<Endpoint> read = new ArrayList<>();
     for (JsonElement line : lines) {
-      try {
-        read.add(reader.apply(line.getAsJsonObject()));
-      } catch (IllegalStateException | IllegalArgumentException | NullPointerException | IndexOutOfBoundsException
-          | UnsupportedOperationException e) {
-        counters.add(Count.LINES_UNREADABLE);
+      Endpoint endpoint = readable(() -> reader.apply(line.getAsJsonObject()), counters);
+      if (endpoint != null) {
+        read.add(endpoint);
       }
     }
     return read;
   }
 
+  /** What was read, or null where it is of another form than expected, which is counted. */
+  static <T> T readable(Supplier<T> reader, Counters counters) {
+    try {
+      return reader.get();
+    } catch (IllegalStateException | IllegalArgumentException | NullPointerException | IndexOutOfBoundsException
+        | UnsupportedOperationException | ClassCastException e) {
+      counters.add(Count.LINES_UNREADABLE);
+      return null;
+    }
+  }
+
   /** Unknown names share a place of their own, behind all known ones. */
   static int place(List<String> names, String name) {
     int at = names.indexOf(name);
--- a/src/main/java/umberrun/roll/Poller.java
+++ b/src/main/java/umberrun/roll/Poller.java
@@ -13,6 +13,9 @@
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.RequestOptions;
 import io.vertx.core.net.SocketAddress;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
 import java.util.function.Supplier;
 import umberrun.stats.Counters;
 import umberrun.stats.Counters.Count;
@@ -28,14 +31,17 @@
   private static final long SLACK_MILLIS = 500;
   private static final long FIRST_RETRY_MILLIS = 20;
   private static final long LAST_RETRY_MILLIS = 640;
+  /** Of one answer: a list of some 16,000 workers. */
+  private static final int MOST_BYTES = 4 << 20;
 
   private final Vertx vertx;
   private final HttpClient client;
   private final Counters counters;
   private SocketAddress address;
   private long retryMillis = FIRST_RETRY_MILLIS;
-  /** The round that is repeated: its end, which may come early, and the wait for the next. */
-  private Promise<Void> round = Promise.promise();
+  /** What is asked and not answered yet, also what is still being dialled for. */
+  private final Set<Promise<Answer>> asked = new HashSet<>();
+  /** The wait for the next round of what is repeated. */
   private long retryTimer = -1;
   private Runnable retry;
 
@@ -48,13 +54,10 @@
 
   /** Repeats a round as long as the process lives. */
   void repeat(Round round) {
-    this.round = Promise.promise();
-    this.round.future().onComplete(v -> {
+    attempt(round).onComplete(v -> {
       retryMillis = FIRST_RETRY_MILLIS;
       repeat(round);
     }, e -> retryLater(() -> repeat(round)));
-    Promise<Void> end = this.round;
-    attempt(round).onComplete(v -> end.tryComplete(), end::tryFail);
   }
 
   /** Carries a round out once, however many tries that takes. */
@@ -65,7 +68,10 @@
     });
   }
 
-  /** The server answers elsewhere from now on: it is asked there at once, since the old one may stay silent. */
+  /**
+   * The server answers elsewhere from now on: it is asked there at once, since the old one may stay silent. Guards against what the
+   * old one may yet say to a request, also to one that is still being dialled for: it would be taken for the new one's word.
+   */
   void moveTo(SocketAddress to) {
     if (to.equals(address)) {
       return;
@@ -77,7 +83,7 @@
       retryTimer = -1;
       retry.run();
     } else {
-      round.tryFail("the server has moved");
+      List.copyOf(asked).forEach(a -> a.tryFail("the server has moved"));
     }
   }
 
@@ -103,17 +109,35 @@
   Future<Answer> ask(HttpMethod method, String uri, Buffer body, long millis) {
     Promise<Answer> answer = Promise.promise();
     long timer = vertx.setTimer(millis + SLACK_MILLIS, t -> answer.tryFail("not answered in time"));
+    asked.add(answer);
     client.request(new RequestOptions().setServer(address).setHost(address.host()).setPort(address.port())
             .setMethod(method).setURI(uri))
         .compose(r -> {
           answer.future().onFailure(e -> r.connection().close());
-          round.future().onFailure(e -> r.connection().close());
-          return r.send(body);
+          return answer.future().isComplete() ? Future.failedFuture("given up") : r.send(body);
         })
-        .compose(r -> r.statusCode() == 200 ? r.body().map(b -> new Answer(r, b))
+        .compose(r -> r.statusCode() == 200 ? whole(r).map(b -> new Answer(r, b))
             : Future.failedFuture("status " + r.statusCode()))
         .onComplete(answer::tryComplete, answer::tryFail);
-    return answer.future().onComplete(a -> vertx.cancelTimer(timer));
+    return answer.future().onComplete(a -> {
+      asked.remove(answer);
+      vertx.cancelTimer(timer);
+    });
+  }
+
+  /** The body, read to its end. Guards the memory against one that has none. */
+  private static Future<Buffer> whole(HttpClientResponse response) {
+    Promise<Buffer> whole = Promise.promise();
+    Buffer body = Buffer.buffer();
+    response.handler(piece -> {
+      if (body.length() + piece.length() > MOST_BYTES) {
+        whole.tryFail("an answer of more than " + MOST_BYTES + " bytes");
+      } else if (!whole.future().isComplete()) {
+        body.appendBuffer(piece);
+      }
+    });
+    response.end().onComplete(v -> whole.tryComplete(body), whole::tryFail);
+    return whole.future();
   }
 
   record Answer(HttpClientResponse response, Buffer body) {
