The end of a process loses nothing that crosses it, nor does a signal during the start

Causes, by reading, each forced by a test that was seen to fail with that part of the mend taken back: - Server.end waited 20 ms from the last answer and took no notice of the listener: a connection that the system had accepted in a stall of these 20 ms was taken in, unread, and the process ended with its request (aConnectionThatIsAcceptedAtTheEndIsServed). Now what waits at the listener is taken in and it is closed first, and the 20 ms are counted from then. - Half of a request that lay there at the end was dropped, at both fronts, as was an answer that the invoke API had half written (anEndWaitsForTheRestOfARequest): the end now waits until the rest came or its own time is up, 2 s and 5 s, within Duty.lasts. - Owner.whenIdle ran its action after a call had been taken behind the last answer; it looks again now, and once. - Server.reload dropped an address that came before the change log was made, which is a second or so of each start: its list followed the old address and was quiet for good (aMoveThatIsToldDuringTheStartIsTaken). And the handler was set after the configuration had been read: a signal in between ended the process. It is set first now, and a signal waits for the server. aRevokeThatMeetsTheAnswerEndsTheCallOnce holds what was right already.

--- a/src/main/java/umberrun/Main.java
+++ b/src/main/java/umberrun/Main.java
@@ -4,7 +4,6 @@
 import io.netty.util.internal.logging.JdkLoggerFactory;
 import java.util.Arrays;
 import umberrun.cli.Commands;
-import umberrun.config.Config;
 import umberrun.config.Config.BadConfig;
 
 /** The command line: {@code serve} is a real front end, {@code benchlink} the same decisions on the simulator's wire. */
@@ -16,7 +15,7 @@
     if (Arrays.equals(args, new String[] {"serve"})) {
       quietLibraries();
       try {
-        Server.serve(Config.read(System.getenv()), System.getenv());
+        Server.serve(System.getenv());
       } catch (BadConfig | IllegalArgumentException e) {
         System.err.println("umberrun: " + e.getMessage());
         System.exit(2);
--- a/src/main/java/umberrun/Server.java
+++ b/src/main/java/umberrun/Server.java
@@ -13,6 +13,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import saddlestall.Choice;
@@ -65,6 +66,8 @@
   private InvokeFront invoke;
   private final List<Roll> rolls = new ArrayList<>();
   private ChangeLog changeLog;
+  /** Where the change log answers by now. */
+  private SocketAddress changeLogAddress;
   private final Clock clock = new Clock();
   private final Duty duty;
   private final Account account;
@@ -85,6 +88,7 @@
   Server(Config config, Path shared) throws BadConfig {
     this.config = config;
     this.account = config.account();
+    this.changeLogAddress = config.changelog();
     this.shared = shared;
     this.duty = new Duty(config.settings().classes().stream().mapToLong(CallClass::giveUp).max().orElse(0));
     // One core: one event loop, and next to no threads beside it. Nothing is read from the class path or cached.
@@ -95,7 +99,10 @@
   }
 
   /** Serves until the process is told to end. */
-  static void serve(Config config, Map<String, String> env) throws BadConfig {
+  static void serve(Map<String, String> env) throws BadConfig {
+    CompletableFuture<Server> made = new CompletableFuture<>();
+    heed(env, made);
+    Config config = Config.read(env);
     String temporary = env.getOrDefault("TMPDIR", "");
     Server server;
     try {
@@ -104,7 +111,7 @@
     } catch (IOException e) {
       throw new BadConfig("TMPDIR can't be used: " + e);
     }
-    server.heed(env);
+    made.complete(server);
     server.start().onSuccess(v -> log(config.name() + " listens on " + config.listen())).onFailure(e -> {
       System.err.println("umberrun: can't start: " + e.getMessage());
       Runtime.getRuntime().halt(2);
@@ -118,12 +125,16 @@
     return open();
   }
 
-  /** Takes the signals that do not end the process: unheeded, each of them would. */
-  void heed(Map<String, String> env) {
-    if (Signal.handle(new Signal("HUP"), s -> reload(env, RELOADS)) == SignalHandler.SIG_IGN) {
-      watch(env, modified(env));
+  /**
+   * Takes the signals that do not end the process: unheeded, each of them would. To be called before the configuration is read, and
+   * what comes before there is a server is carried out by it: guards the list of workers against a change log that moves meanwhile.
+   */
+  static void heed(Map<String, String> env, CompletableFuture<Server> made) {
+    Object read = modified(env);
+    if (Signal.handle(new Signal("HUP"), s -> made.thenAccept(server -> server.reload(env, RELOADS))) == SignalHandler.SIG_IGN) {
+      made.thenAccept(server -> server.watch(env, read));
     }
-    Signal.handle(new Signal("USR2"), s -> context.runOnContext(v -> log(counters.line())));
+    Signal.handle(new Signal("USR2"), s -> made.thenAccept(server -> server.context.runOnContext(v -> log(server.counters.line()))));
   }
 
   /**
@@ -142,7 +153,7 @@
 
   private static Object modified(Map<String, String> env) {
     try {
-      return Files.readAttributes(Path.of(env.get("EDGE_CONFIG")), "unix:ino,lastModifiedTime,size").toString();
+      return Files.readAttributes(Path.of(env.getOrDefault("EDGE_CONFIG", "")), "unix:ino,lastModifiedTime,size").toString();
     } catch (IOException e) { // not there for a moment: read as a change, refused, and read again
       return "";
     }
@@ -156,8 +167,9 @@
     try {
       SocketAddress address = Config.read(env).changelog();
       context.runOnContext(v -> {
-        if (changeLog != null && address != null) {
-          changeLog.moveTo(address);
+        changeLogAddress = address != null ? address : changeLogAddress;
+        if (changeLog != null) { // else it is made with this address, later in the start
+          changeLog.moveTo(changeLogAddress);
         }
         counters.add(Count.CONFIGS_TAKEN);
         log("configuration read again, the change log is at " + address);
@@ -188,8 +200,8 @@
         actions -> new Choice(config.settings(), config.seed(), clock.now(), actions),
         o -> new WorkerPool(vertx, clock, counters, config.settings(), config.names(), account));
     OperatorFile file = config.file();
-    if (config.changelog() != null && (file == null || !file.listsWorkers())) {
-      changeLog = new ChangeLog(vertx, config.changelog(), owner, config.names(), counters);
+    if (changeLogAddress != null && (file == null || !file.listsWorkers())) {
+      changeLog = new ChangeLog(vertx, changeLogAddress, owner, config.names(), counters);
       changeLog.known(config.known());
       rolls.add(changeLog);
     }
@@ -424,10 +436,7 @@
       fleet.leave(succeeded);
     }
     if (succeeded) {
-      transport.stopListening(rpcPort);
-      if (invoke != null) {
-        transport.stopListening(invokePort);
-      }
+      stopListening();
       // What waited in the queue comes a moment later, so that having no connection now does not mean to have none.
       vertx.setTimer(ACCEPT_MILLIS, t -> rpc.whenEmpty(() -> owner.whenIdle(this::end)));
     } else {
@@ -435,10 +444,30 @@
     }
   }
 
-  /** Nothing is owed. Once that still holds after a moment, and the last answers have left, the process ends. */
+  /**
+   * Nothing is owed. No connections are taken any more; guards those that the system has accepted meanwhile, and what lies unread,
+   * which come in within the moment that follows.
+   */
   private void end() {
-    Future<Void> left = fleet == null ? Future.succeededFuture() : fleet.end();
-    left.onComplete(v -> vertx.setTimer(CROSSING_MILLIS, t -> owner.whenIdle(() -> rpc.whenWritten(done::countDown))));
+    stopListening().eventually(() -> fleet == null ? Future.succeededFuture() : fleet.end())
+        .eventually(() -> vertx.timer(CROSSING_MILLIS))
+        .eventually(() -> invoke == null ? Future.succeededFuture() : invoke.end())
+        .onComplete(v -> endOnceQuiet());
+  }
+
+  /** The process ends when nothing is owed, the last answers have left, and no request lies here by half. */
+  private void endOnceQuiet() {
+    owner.whenIdle(() -> {
+      if (rpc.isQuiet()) {
+        done.countDown();
+      } else {
+        rpc.whenQuiet(this::endOnceQuiet);
+      }
+    });
+  }
+
+  private Future<Void> stopListening() {
+    return transport.stopListening(rpcPort).eventually(() -> transport.stopListening(invokePort));
   }
 
   private static void log(String text) {
--- a/src/main/java/umberrun/SingleLoop.java
+++ b/src/main/java/umberrun/SingleLoop.java
@@ -6,6 +6,8 @@
 import io.netty.channel.ServerChannel;
 import io.netty.channel.socket.nio.NioChannelOption;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
 import io.vertx.core.impl.transports.NioTransport;
 import io.vertx.core.net.NetServerOptions;
 import io.vertx.core.transport.Transport;
@@ -35,13 +37,15 @@
      * connections until then, all of which the system resets. So it is deregistered first; then what waits is taken
      * and the socket closed with nothing in between.
      */
-    void leave() {
-      deregister().addListener(f -> closeOnceOff());
+    Future<Void> leave() {
+      Promise<Void> left = Promise.promise();
+      deregister().addListener(f -> closeOnceOff(left));
+      return left.future();
     }
 
-    private void closeOnceOff() {
+    private void closeOnceOff(Promise<Void> left) {
       if (javaChannel().isRegistered()) {
-        eventLoop().schedule(this::closeOnceOff, 1, TimeUnit.MILLISECONDS);
+        eventLoop().schedule(() -> closeOnceOff(left), 1, TimeUnit.MILLISECONDS);
         return;
       }
       List<Object> accepted = new ArrayList<>();
@@ -54,6 +58,7 @@
       }
       close();
       accepted.forEach(pipeline()::fireChannelRead);
+      left.complete();
     }
   }
 
@@ -77,14 +82,11 @@
 
   /**
    * Takes in what waits at a port and closes its listener: what comes later goes to the other process that listens
-   * there. The connections stay, unlike with the library's close of a server.
+   * there. The connections stay, unlike with the library's close of a server. Done once all that waited is taken in.
    */
-  void stopListening(int port) {
-    for (Listener l : List.copyOf(listeners)) {
-      if (l.localAddress() != null && l.localAddress().getPort() == port) {
-        l.leave();
-      }
-    }
+  Future<Void> stopListening(int port) {
+    return Future.join(listeners.stream().filter(l -> l.localAddress() != null && l.localAddress().getPort() == port)
+        .map(Listener::leave).toList()).mapEmpty();
   }
 
   @Override
--- a/src/main/java/umberrun/core/Owner.java
+++ b/src/main/java/umberrun/core/Owner.java
@@ -18,6 +18,7 @@
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import java.util.function.Function;
+import java.util.function.Supplier;
 import saddlestall.Dispatcher;
 import saddlestall.Dispatcher.Action;
 import saddlestall.Dispatcher.Cancel;
@@ -146,6 +147,13 @@
     }
   }
 
+  /** Carries a step out in its turn; what it gives, once that is done. */
+  private <T> Future<T> inTurn(Supplier<T> step) {
+    Promise<T> done = Promise.promise();
+    post(() -> done.complete(step.get()));
+    return done.future();
+  }
+
   /** A late machine reads on first: guards callers who have gone, as what they said behind their calls lies unread by now. */
   private void schedule() {
     scheduled = true;
@@ -299,7 +307,7 @@
     answer.accept(call.reply);
     release(call);
     if (owed == 0 && whenIdle != null) {
-      post(whenIdle);
+      post(this::lookIfIdle);
     }
   }
 
@@ -488,8 +496,7 @@
    * @param at when it was said, which is kept where it is said again
    */
   public Future<Boolean> setOut(String worker, boolean out, long at) {
-    Promise<Boolean> done = Promise.promise();
-    post(() -> {
+    return inTurn(() -> {
       boolean known = roster.wasListed(worker) || bans.isOut(worker);
       if (known) {
         if (out) {
@@ -499,34 +506,29 @@
         }
         restate(List.of(worker));
       }
-      done.complete(known);
+      return known;
     });
-    return done.future();
   }
 
   /** Takes over what another process of this front end has written of workers that are out and that came back. */
   public Future<Void> setOut(Map<String, Long> out, Map<String, Long> back) {
-    Promise<Void> done = Promise.promise();
-    post(() -> {
+    return inTurn(() -> {
       restate(bans.replace(out, back));
-      done.complete();
+      return null;
     });
-    return done.future();
   }
 
   /** A line for each worker on the list, and for each that is out but not on it: its name, state, and since when out. */
   public Future<String> hosts() {
-    Promise<String> done = Promise.promise();
-    post(() -> {
+    return inTurn(() -> {
       Map<String, String> lines = new TreeMap<>();
       bans.out().forEach((name, at) -> lines.put(name, "unlisted"));
       roster.all().forEach(e -> lines.put(e.endpoint().name(), e.endpoint().state().name().toLowerCase(Locale.ROOT)));
       StringBuilder text = new StringBuilder();
       lines.forEach((name, state) -> text.append(name).append(' ').append(state).append(bans.isOut(name)
           ? " out since " + Instant.ofEpochMilli(bans.out().get(name) / 1_000) : "").append('\n'));
-      done.complete(text.toString());
+      return text.toString();
     });
-    return done.future();
   }
 
   // ---------------------------------------------------------------- what instances know of each other's
@@ -538,23 +540,19 @@
 
   /** All facts that this instance has: what it saw itself by now, and what it heard. */
   public Future<List<Fact>> facts() {
-    Promise<List<Fact>> done = Promise.promise();
-    post(() -> {
+    return inTurn(() -> {
       long now = clock.now();
       module.recall(now, known -> hearsay.saw(known, id -> {
         Roster.Entry entry = roster.find(id);
         return entry == null ? null : entry.endpoint().name();
       }, now));
-      done.complete(hearsay.facts());
+      return hearsay.facts();
     });
-    return done.future();
   }
 
   /** Takes in what others saw; done, with how many of the facts were of use, once the module was told. */
   public Future<Integer> hear(List<Fact> facts) {
-    Promise<Integer> done = Promise.promise();
-    post(() -> done.complete(believe(facts)));
-    return done.future();
+    return inTurn(() -> believe(facts));
   }
 
   private int believe(List<Fact> facts) {
@@ -592,12 +590,10 @@
 
   /** Takes out what plans have out, and nothing else by plans; done once that holds here. */
   public Future<Void> settle(Set<String> nowOut, Set<String> cold) {
-    Promise<Void> done = Promise.promise();
-    post(() -> {
+    return inTurn(() -> {
       restate(bans.settle(nowOut, cold, clock.now()));
-      done.complete();
+      return null;
     });
-    return done.future();
   }
 
   /** The workers that the list has now; READY ones are ready whatever is out by hand or plan. */
@@ -670,13 +666,17 @@
     post(() -> tell(new Dispatcher.Siblings(count, divisor)));
   }
 
-  /** Runs {@code action} once no call is owed an answer: at once, or when the last one has it. */
+  /** Runs {@code action} one time, once no call is owed an answer: at once, or when the last one has it. */
   public void whenIdle(Runnable action) {
-    post(() -> {
-      whenIdle = action;
-      if (owed == 0) {
-        action.run();
-      }
-    });
+    whenIdle = action;
+    post(this::lookIfIdle);
+  }
+
+  private void lookIfIdle() {
+    if (owed == 0 && whenIdle != null) { // guards a call that was taken behind the last answer
+      Runnable action = whenIdle;
+      whenIdle = null;
+      action.run();
+    }
   }
 }
--- a/src/main/java/umberrun/front/invoke/InvokeFront.java
+++ b/src/main/java/umberrun/front/invoke/InvokeFront.java
@@ -103,6 +103,11 @@
     }
   }
 
+  /** Ends all connections, each once what is asked on it has come whole and its answer has left. */
+  public Future<Void> end() {
+    return server.shutdown(WHOLE_MILLIS, TimeUnit.MILLISECONDS);
+  }
+
   /** The one that has been silent for longest returns its place at once; the system may take longer to be done with it. */
   private boolean makeRoom() {
     if (silent.isEmpty()) {
--- a/src/main/java/umberrun/front/rpc/RpcConnection.java
+++ b/src/main/java/umberrun/front/rpc/RpcConnection.java
@@ -88,6 +88,7 @@
   private void stopReading() {
     deaf = true;
     endIfDone();
+    front.checkQuiet();
   }
 
   private void endIfDone() {
@@ -116,6 +117,12 @@
     if (greeted) { // one that has not said a whole thing yet has the time since it connected, and no more
       watch();
     }
+    front.checkQuiet();
+  }
+
+  /** Whether the rest of a message may still come. */
+  boolean isMidway() {
+    return !closed && !leaving && !deaf && decoder.isMidway();
   }
 
   private void message(RpcMessage message) {
--- a/src/main/java/umberrun/front/rpc/RpcFront.java
+++ b/src/main/java/umberrun/front/rpc/RpcFront.java
@@ -47,7 +47,7 @@
   /** Those without an open request that have, the one that is idle for longest first. */
   private final Set<RpcConnection> idle = new LinkedHashSet<>();
   private Runnable whenEmpty;
-  private Runnable whenWritten;
+  private Runnable whenQuiet;
 
   public RpcFront(Vertx vertx, Owner owner, Counters counters, Names names, Duty duty, Clock clock,
       Account account, long mostQueued) {
@@ -103,15 +103,26 @@
   /** So many more bytes wait for clients, or fewer. */
   void queue(int bytes) {
     queued += bytes;
-    if (queued == 0 && whenWritten != null) {
-      whenWritten.run();
-    }
+    checkQuiet();
+  }
+
+  /** Whether no answer waits for its client, and no message for its rest. */
+  public boolean isQuiet() {
+    return queued == 0 && all.stream().noneMatch(RpcConnection::isMidway);
   }
 
-  /** Runs {@code action} whenever no answer waits for its client: also at once. */
-  public void whenWritten(Runnable action) {
-    whenWritten = action;
-    queue(0);
+  /** Runs {@code action} once it is quiet: at once, or when the last answer has left or the last message is whole or given up. */
+  public void whenQuiet(Runnable action) {
+    whenQuiet = action;
+    checkQuiet();
+  }
+
+  void checkQuiet() {
+    if (whenQuiet != null && isQuiet()) {
+      Runnable action = whenQuiet;
+      whenQuiet = null;
+      action.run();
+    }
   }
 
   Duty duty() {
@@ -190,6 +201,7 @@
     if (all.isEmpty() && whenEmpty != null) {
       whenEmpty.run();
     }
+    checkQuiet();
   }
 
   /** A heartbeat that carries the fields of a call, as the decoder then has the same work with it. */
--- a/src/test/java/umberrun/CrossingsTest.java
+++ b/src/test/java/umberrun/CrossingsTest.java
@@ -5,6 +5,8 @@
 import static org.junit.Assert.assertNotEquals;
 import static org.junit.Assert.assertTrue;
 
+import io.vertx.core.Context;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
@@ -194,6 +196,19 @@
 
   // ---------------------------------------------------------------- answers
 
+  /** The answer and the revoke lie unread side by side: whichever is read first, there is one end, and the next call is served. */
+  @Test
+  public void aRevokeThatMeetsTheAnswerEndsTheCallOnce() throws Exception {
+    try (Scenario s = Scenario.of("w1")) {
+      s.play("c1 send 1 date-lookup\nw1 expect RUN 2d41");
+      s.playUnseen("w1 send 200 n=w told\nc1 send revoke 1", () -> { });
+      s.play("c2 send 2 date-lookup\nw1 expect RUN 2d42\nw1 send 200 n=w\nc2 expect [1,2,null");
+      assertEquals(2, s.server.counters().get(Count.CALLS_SERVED) + s.server.counters().get(Count.CALLS_LEFT));
+      s.play("c1 send 3 heartbeat\nc1 expect perhaps 1 [1,3,null,[true");
+      s.play("c1 send 1 date-lookup\nw1 expect RUN 2d41\nw1 send 200 n=w again\nc1 expect [1,1,null again");
+    }
+  }
+
   /** In pieces, beside one that nobody asked for, and again when its call is over. */
   @Test
   public void anAnswerIsTakenOnceHoweverItComes() throws Exception {
@@ -283,8 +298,86 @@
     }
   }
 
+  /** A connection is accepted, and a request written to it, in the instant in which a process without a successor is about to end. */
+  @Test
+  public void aConnectionThatIsAcceptedAtTheEndIsServed() throws Exception {
+    try (Scenario s = Scenario.of("w1")) {
+      Thread leave = new Thread(s.server::leave);
+      leave.start();
+      while (s.server.isFit()) {
+        Thread.onSpinWait(); // the event that is waited for
+      }
+      CountDownLatch ends = new CountDownLatch(1);
+      CountDownLatch over = new CountDownLatch(1);
+      Context loop = s.server.context();
+      // Set behind the process's own timer, for as long: what it posts then has run two turns later, and nothing was owed.
+      loop.runOnContext(v -> loop.owner().setTimer(700, t -> loop.runOnContext(x -> loop.runOnContext(y -> {
+        ends.countDown();
+        awaitIt(over);
+      }))));
+      ends.await();
+      s.play("c1 send 1 date-lookup budget=9000");
+      Thread.sleep(40); // longer than the process would wait from now on
+      over.countDown();
+      s.play("w1 expect RUN 2d41");
+      assertTrue("ended with a call in hand", leave.isAlive());
+      s.play("w1 send 200 n=w told\nc1 expect [1,1,null told");
+      leave.join(TimeUnit.SECONDS.toMillis(Scenario.PATIENCE_SECONDS));
+      assertFalse(leave.isAlive());
+    }
+  }
+
+  private static void awaitIt(CountDownLatch latch) {
+    try {
+      latch.await();
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  /** Half of a request has come when the process is told to end: it takes the rest, and answers, at both fronts. */
+  @Test
+  public void anEndWaitsForTheRestOfARequest() throws Exception {
+    try (Scenario s = Scenario.of("w1")) {
+      s.worker("w1").answersAll = true;
+      s.play("c1 send 9 heartbeat\nc1 expect [1,9,null\nc1 send half 1 date-lookup budget=9000\n"
+          + "r1 send POST /v1/functions/7f3a9c21e0b4d655/invocations HTTP/1.1|Host: x|Invoke-Class: date-lookup|"
+          + "Invoke-Tenant: central-council|Content-Length: 8||half");
+      Thread leave = new Thread(s.server::leave);
+      leave.start();
+      leave.join(1_000); // more than calls are taken for
+      assertTrue("ended with half of a request unread", leave.isAlive());
+      s.play("c1 send rest\nc1 expect [1,1,null");
+      leave.join(100);
+      assertTrue("ended with half of a body unread", leave.isAlive());
+      s.play("r1 send rest\nr1 expect halfrest");
+      leave.join(TimeUnit.SECONDS.toMillis(Scenario.PATIENCE_SECONDS));
+      assertFalse(leave.isAlive());
+    }
+  }
+
   // ---------------------------------------------------------------- the list
 
+  /** Events without a number or without lines are passed over, whatever comes with them. */
+  @Test
+  public void anUnreadableEventDoesNotSilenceTheList() throws Exception {
+    try (Scenario s = Scenario.of("w1")) {
+      s.tellUnreadable("{\"fleet\":{\"snapshot\":false}}", "{\"seq\":3,\"fleet\":{\"snapshot\":false}}",
+          "{\"seq\":4,\"fleet\":{\"snapshot\":{},\"endpoints\":[]}}", "7");
+      s.join("w2");
+      assertEquals(4, s.server.counters().get(Count.LINES_UNREADABLE));
+    }
+  }
+
+  /** The change log moves, and the signal comes, while a front end starts and has read the old address. */
+  @Test
+  public void aMoveThatIsToldDuringTheStartIsTaken() throws Exception {
+    try (Scenario s = Scenario.of("w1")) {
+      s.startAsTheRollMoves();
+      s.join("w2");
+    }
+  }
+
   /** A line that can't be read is passed over: else the list would be quiet for good. */
   @Test
   public void anUnreadableLineDoesNotSilenceTheList() throws Exception {
--- a/src/test/java/umberrun/Scenario.java
+++ b/src/test/java/umberrun/Scenario.java
@@ -145,12 +145,17 @@
     main.toFile().deleteOnExit();
     env = Map.of("EDGE_CONFIG", main.toString(), "UMBERRUN_OPERATOR", file.toString(), "EDGE_OPERATOR",
         shared == null ? "" : LOOPBACK + ":0");
+    CompletableFuture<Server> made = new CompletableFuture<>();
+    Server.heed(env, made);
     server = start(env);
-    server.heed(env);
+    made.complete(server);
   }
 
   private Server start(Map<String, String> env) throws Exception {
-    Server s = new Server(Config.read(env), shared);
+    return open(new Server(Config.read(env), shared));
+  }
+
+  private Server open(Server s) throws Exception {
     servers.add(s);
     s.open().toCompletionStage().toCompletableFuture().get(PATIENCE_SECONDS, TimeUnit.SECONDS);
     return s;
@@ -164,6 +169,23 @@
     return before;
   }
 
+  /** Starts another front end beside this one; the change log moves, and the signal comes, once it has read where that was. */
+  void startAsTheRollMoves() throws Exception {
+    CompletableFuture<Server> made = new CompletableFuture<>();
+    Server.heed(env, made);
+    write(config(0));
+    Server next = new Server(Config.read(env), shared);
+    moveRollBy(text -> {
+      write(text);
+      Signal.raise(new Signal("HUP"));
+    });
+    while (made.getNumberOfDependents() < 1) {
+      Thread.onSpinWait(); // the signal has come
+    }
+    made.complete(next);
+    server = open(next);
+  }
+
   /** Starts another front end beside this one, which knows the same workers and learns from these peers. */
   Server learn(String... peers) throws Exception {
     JsonObject learning = new JsonObject();
@@ -555,6 +577,7 @@
   private final class RpcClient {
     private final Socket socket;
     private final MessageUnpacker in;
+    private byte[] rest;
 
     RpcClient() {
       try {
@@ -577,6 +600,10 @@
             return;
           }
           Value v = in.unpackValue();
+          if (words[0].equals("perhaps")) { // the answer to the call with this id, and then what is expected
+            v = v.toString().startsWith("[1," + words[1] + ",") ? in.unpackValue() : v;
+            words = Arrays.copyOfRange(words, 2, words.length);
+          }
           for (String word : words) {
             assertTrue(v + " lacks " + word, v.toString().contains(word));
           }
@@ -587,8 +614,16 @@
       }
     }
 
-    /** {@code id class name=value ... body=text}, {@code revoke id}, or {@code raw hex}. */
+    /** {@code id class name=value ... body=text}, {@code half} of such a one, its {@code rest}, {@code revoke id}, or {@code raw hex}. */
     private byte[] message(String[] words) throws IOException {
+      if (words[0].equals("half")) {
+        byte[] whole = message(Arrays.copyOfRange(words, 1, words.length));
+        rest = Arrays.copyOfRange(whole, whole.length / 2, whole.length);
+        return Arrays.copyOf(whole, whole.length / 2);
+      }
+      if (words[0].equals("rest")) {
+        return rest;
+      }
       if (words[0].equals("raw")) {
         return HexFormat.of().parseHex(words[1]);
       }
@@ -730,6 +765,14 @@
     await(Count.LIST_CHANGES, before);
   }
 
+  /** Events that can't be read. */
+  void tellUnreadable(String... unreadable) {
+    synchronized (events) {
+      events.addAll(List.of(unreadable));
+      events.notifyAll();
+    }
+  }
+
   private static String zone(String worker) {
     return worker.startsWith("w") ? "hall-a" : "hall-b";
   }
