Crossings: a request and an idle close, a keyed call whose hall has nobody else

A keyed call whose worker resets after the write ends as failed where only another hall has a worker.

--- a/src/test/java/umberrun/CrossingsTest.java
+++ b/src/test/java/umberrun/CrossingsTest.java
@@ -163,6 +163,11 @@
       s.join("w2");
       s.play("w1 close\nw2 expect RUN 2d41 op=5c0f6e1a2b3d4c59a8b7c6d5e4f30211\nw2 send 200 n=w\nc1 expect [1,1,null");
     }
+    try (Scenario s = Scenario.of("w1")) {
+      s.play("c1 send 1 slot-change budget=1500\nw1 expect RUN 2d41");
+      s.join("x2");
+      s.play("w1 close\nc1 expect [1,1,[\"Failed\"\nx2 wait 1");
+    }
   }
 
   /** A class that must never run twice ends with a reset, but goes elsewhere where the connection was refused. */
@@ -244,6 +249,17 @@
     }
   }
 
+  /** A request comes in the instant in which its connection is closed as idle, and lies unread beside that. */
+  @Test
+  public void aRequestThatCrossesAnIdleCloseIsAnswered() throws Exception {
+    try (Scenario s = Scenario.of("w1")) {
+      s.worker("w1").answersAll = true;
+      s.play("c1 send 9 heartbeat\nc1 expect [1,9,null");
+      playAcross(s, 4_900, 200, "c1 send 1 date-lookup");
+      s.play("c1 expect [1,1,"); // it may well be that a machine as late as this refuses it
+    }
+  }
+
   /** A request lies unread on the connection that is idle for longest when a newcomer needs its place. */
   @Test
   public void aRequestThatCrossesADisplacementIsServed() throws Exception {
@@ -307,18 +323,8 @@
       while (s.server.isFit()) {
         Thread.onSpinWait(); // the event that is waited for
       }
-      CountDownLatch ends = new CountDownLatch(1);
-      CountDownLatch over = new CountDownLatch(1);
-      Context loop = s.server.context();
-      // Set behind the process's own timer, for as long: what it posts then has run two turns later, and nothing was owed.
-      loop.runOnContext(v -> loop.owner().setTimer(700, t -> loop.runOnContext(x -> loop.runOnContext(y -> {
-        ends.countDown();
-        awaitIt(over);
-      }))));
-      ends.await();
-      s.play("c1 send 1 date-lookup budget=9000");
-      Thread.sleep(40); // longer than the process would wait from now on
-      over.countDown();
+      // Behind the process's own timer, for as long: what it posts then has run two turns later, and nothing was owed.
+      playAcross(s, 700, 40, "c1 send 1 date-lookup budget=9000");
       s.play("w1 expect RUN 2d41");
       assertTrue("ended with a call in hand", leave.isAlive());
       s.play("w1 send 200 n=w told\nc1 expect [1,1,null told");
@@ -327,12 +333,23 @@
     }
   }
 
-  private static void awaitIt(CountDownLatch latch) {
-    try {
-      latch.await();
-    } catch (InterruptedException e) {
-      Thread.currentThread().interrupt();
-    }
+  /** Plays these lines while the loop stands still, from so many milliseconds on and for so many more, across what is due then. */
+  private static void playAcross(Scenario s, long from, long more, String lines) throws Exception {
+    CountDownLatch stands = new CountDownLatch(1);
+    CountDownLatch over = new CountDownLatch(1);
+    Context loop = s.server.context();
+    loop.runOnContext(v -> loop.owner().setTimer(from, t -> loop.runOnContext(x -> loop.runOnContext(y -> {
+      stands.countDown();
+      try {
+        over.await();
+      } catch (InterruptedException e) {
+        Thread.currentThread().interrupt();
+      }
+    }))));
+    stands.await();
+    s.play(lines);
+    Thread.sleep(more); // what is due falls due
+    over.countDown();
   }
 
   /** Half of a request has come when the process is told to end: it takes the rest, and answers, at both fronts. */
