Settings may lack what a deployment does not have; tests of one with other rules and tellings

Cause: SettingsJson made nought of an absent Limits.MostTries, and Checks then refused the start. An absent limit is none.

--- a/src/main/java/saddlestall/benchlink/SettingsJson.java
+++ b/src/main/java/saddlestall/benchlink/SettingsJson.java
@@ -64,7 +64,7 @@
 
   private static Limits limits(JsonObject l) {
     return new Limits(flag(l, "MayCancel"), flag(l, "MayDuplicate"), flag(l, "MayProbe"), flag(l, "Peers"),
-        flag(l, "RetryAfter"), micros(l, "MaxRetryAfter"), (int) number(l, "MostTries"),
+        flag(l, "RetryAfter"), micros(l, "MaxRetryAfter"), get(l, "MostTries") == null ? Integer.MAX_VALUE : (int) number(l, "MostTries"),
         micros(l, "ConnectTimeout"));
   }
 
--- a/src/test/java/saddlestall/ChoiceTest.java
+++ b/src/test/java/saddlestall/ChoiceTest.java
@@ -721,6 +721,19 @@
     assertEquals(2, b.all(Hold.class).size(), "two are free, and one call earns none");
   }
 
+  /** A deployment without a ration of loads: no default takes its place. */
+  @Test
+  void anAbsentRationIsNoRation() {
+    Settings s = Bench.settings(true, Group.ALL);
+    Settings none = new Settings(0, 2, 0, s.classes(), s.tenants(), 0.2, false, false, WeightKind.SILENT, List.of(), s.limits(),
+        s.rules(), new Loads(true, true, 0, 0, 0, 10 * SECOND, false, true, 0), s.report(), s.costs());
+    Bench b = new Bench(none, 7).list(3).call(1, SAFE, 9);
+    for (int i = 0; i < 50; i++) {
+      b.event(new Wanted(1, 9));
+    }
+    assertEquals(50, b.all(Hold.class).size());
+  }
+
   /** What others say counts where it is later than what was seen here; a benched worker is tried once it is said to answer. */
   @Test
   void laterHearsayBenchesAndLetsTry() {
--- a/src/test/java/umberrun/Scenario.java
+++ b/src/test/java/umberrun/Scenario.java
@@ -43,7 +43,7 @@
 
 /**
  * The scenario language: each line names a party, a verb (send, expect, close, wait) and words. Parties are
- * clients of the platform's protocol (c1), of the invoke API (h1), workers (w1, in hall-a; x1, in hall-b), the
+ * clients of the platform's protocol (c1), of the invoke API (h1), workers (w1, in hall-a; x1, in hall-b; w1-b, in another cell), the
  * change log (log) and Consul; r1 is a client of the invoke API that writes its bytes itself, and d1 one of the
  * operators' door. What a party expects
  * must come within ten seconds, and is waited for as an event.
@@ -114,7 +114,12 @@
 
   /** With a door for operators and a folder to share with a successor. */
   static Scenario daily(Path shared, String... names) throws Exception {
-    return new Scenario(8_192, SETTINGS, shared, false, "{}", names);
+    return dailyWith(SETTINGS, shared, names);
+  }
+
+  /** The same of another deployment. */
+  static Scenario dailyWith(String settings, Path shared, String... names) throws Exception {
+    return new Scenario(8_192, settings, shared, false, "{}", names);
   }
 
   private Scenario(int sockets, String settings, Path shared, boolean consul, String operatorDeferred, String... names)
@@ -740,7 +745,7 @@
 
   private String line(String worker, String state) {
     return "{\"name\":\"" + worker + "\",\"address\":\"" + LOOPBACK + ":" + workers.get(worker).listener.getLocalPort()
-        + "\",\"zone\":\"" + zone(worker) + "\",\"type\":\"std-2\",\"group\":0,\"status\":\"" + state
+        + "\",\"zone\":\"" + zone(worker) + "\",\"type\":\"std-2\",\"group\":" + (worker.endsWith("-b") ? 1 : 0) + ",\"status\":\"" + state
         + "\",\"weight\":1,\"since_ms\":0}";
   }
 
