Module: the only hall there is is not benched whole

Cause: Choice.watchHalls took the one hall of a deployment for one of several. Benched whole, all workers are, which counts as a common cause, and then none is passed over, the failing ones neither. What helped where there are more halls did harm here.

--- a/src/main/java/saddlestall/Choice.java
+++ b/src/main/java/saddlestall/Choice.java
@@ -298,9 +298,7 @@
       plannedAt = now;
       plan();
     }
-    for (int i = 0; i < tenantRate.length; i++) {
-      tenantRate[i] *= fade;
-    }
+    scale(tenantRate, fade);
     watchHealth();
     steerShedding();
     retryHeld();
@@ -388,13 +386,11 @@
         inOrder[i] = null;
       }
     }
-    for (int i = 0; i < n; i++) {
-      features(call, field[i], rows[i]);
-    }
     if (n == 0) {
       return null;
     }
     for (int i = 0; i < n; i++) {
+      features(call, field[i], rows[i]);
       chance[i] = dot(weights, rows[i]);
     }
     double sum = softmax(chance, n);
@@ -819,12 +815,15 @@
   private void watchHalls() {
     int[] failing = new int[hallLost.length];
     int[] well = new int[hallLost.length];
+    int[] all = new int[hallLost.length];
     for (Worker w : ready) {
+      all[hall(w)]++;
       failing[hall(w)] += w.lostAt > w.wellAt && now - w.lostAt < HALL_SPAN ? 1 : 0;
       well[hall(w)] += w.wellAt >= w.lostAt && now - w.wellAt < HALL_SPAN / 2 ? 1 : 0;
     }
     for (int z = 0; z < hallLost.length; z++) {
-      if (!hallLost[z] && failing[z] >= HALL_FAILS && failing[z] > HALL_FAILS * well[z]) {
+      boolean fails = failing[z] >= HALL_FAILS && failing[z] > HALL_FAILS * well[z];
+      if (!hallLost[z] && fails && all[z] < ready.length) { // the only hall there is can't be done without
         hallLost[z] = true;
         hallTrialAt[z] = now + TRIAL_WAIT;
         log("hall " + z + " benched: " + failing[z] + " of its workers fail, " + well[z] + " serve");
--- a/src/main/java/saddlestall/Maths.java
+++ b/src/main/java/saddlestall/Maths.java
@@ -83,4 +83,11 @@
     z = (z ^ z >>> 27) * 0x94D049BB133111EBL;
     return z ^ z >>> 31;
   }
+
+  /** Multiplies each value. */
+  static void scale(double[] values, double by) {
+    for (int i = 0; i < values.length; i++) {
+      values[i] *= by;
+    }
+  }
 }
--- a/src/test/java/saddlestall/ChoiceTest.java
+++ b/src/test/java/saddlestall/ChoiceTest.java
@@ -19,6 +19,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
@@ -621,6 +622,23 @@
     assertTrue(back > 5, "only " + back + " sends of 60 to a hall that is back");
   }
 
+  /** Where there is one hall alone, its failing workers are passed over one by one: benched whole, all would look alike. */
+  @Test
+  void theOnlyHallIsNotBenchedWhole() {
+    List<Member> members = IntStream.rangeClosed(1, 12).mapToObj(id -> new Member(id, 0, 0, 0, State.READY, 1, 0)).toList();
+    Bench b = bench().event(new Members(ListKind.FULL, members));
+    for (int id = 1; id <= 20; id++) {
+      b.call(id, SAFE, id);
+      for (int i = 0; i < b.sends(id).size(); i++) {
+        if (b.sends(id).get(i).worker() <= 6) { // the others have not answered yet
+          b.outcome(b.sends(id).get(i), i, Code.CONNECT_FAILED, 10);
+        }
+      }
+      b.pass(20);
+    }
+    assertTrue(b.all(Log.class).stream().noneMatch(l -> l.text().contains("hall")), b.all(Log.class).toString());
+  }
+
   /** One bad worker in a hall says nothing of the others there. */
   @Test
   void aHallWithOneFailingWorkerIsUsed() {
