An absent count is unknown where none are told, in the module and so on both wires

So the mend moves to the one place behind both, Choice.judge, and the one in WorkerPool goes again, with its test; ChoiceTest.anAbsentCountIsNoneOnlyWhereCountsAreTold takes that one's place and fails without the condition (crowdAt).

--- a/src/main/java/saddlestall/Choice.java
+++ b/src/main/java/saddlestall/Choice.java
@@ -743,7 +743,7 @@
     } else if (e.code() == Code.FULL) {
       turnedAwayBy(w, a);
     }
-    if (e.crowd() >= 0) {
+    if (e.crowd() >= 0 && settings.loads().crowdCounts()) { // else an absent count would be none
       a.copy.others += 0.5 * (Math.max(0, e.crowd() - a.ownBefore) - a.copy.others);
       a.copy.crowdAt = now;
     }
--- a/src/main/java/umberrun/worker/WorkerPool.java
+++ b/src/main/java/umberrun/worker/WorkerPool.java
@@ -219,8 +219,7 @@
     }
     Fields f = new Fields(parts.get(2));
     Code code = Fields.code(parts.get(1));
-    // An absent count means none where the deployment tells counts, and nothing where it does not.
-    boolean counted = settings.loads().crowdCounts() && (code == Code.OK || code == Code.FULL);
+    boolean counted = code == Code.OK || code == Code.FULL;
     return new Ending(code, f.note(), counted ? f.count("depth") : -1, f.report(settings.report().fields()),
         parts.get(3));
   }
--- a/src/test/java/saddlestall/ChoiceTest.java
+++ b/src/test/java/saddlestall/ChoiceTest.java
@@ -622,6 +622,20 @@
     assertTrue(back > 5, "only " + back + " sends of 60 to a hall that is back");
   }
 
+  /** An answer without a count says that no other call was there, but only where the deployment has its workers count. */
+  @Test
+  void anAbsentCountIsNoneOnlyWhereCountsAreTold() {
+    for (boolean told : new boolean[] {true, false}) {
+      Settings s = Bench.settings(true, Group.ALL);
+      Loads l = s.loads();
+      Bench b = new Bench(new Settings(0, 2, 0, s.classes(), s.tenants(), 0.2, false, false, WeightKind.SILENT, List.of(), s.limits(),
+          s.rules(), new Loads(true, true, l.window(), l.free(), l.perCall(), l.keep(), true, told, 0), s.report(), s.costs()), 7);
+      b.list(1).call(1, SAFE, 9);
+      b.event(new Outcome(1, 0, 1, Code.OK, 50 * MS, false, Note.WARM, 0, null));
+      assertEquals(told ? b.now : 0, b.choice.workers.get(1).copies.get(9L).crowdAt);
+    }
+  }
+
   /** Where there is one hall alone, its failing workers are passed over one by one: benched whole, all would look alike. */
   @Test
   void theOnlyHallIsNotBenchedWhole() {
--- a/src/test/java/umberrun/worker/WorkerPoolTest.java
+++ b/src/test/java/umberrun/worker/WorkerPoolTest.java
@@ -16,12 +16,8 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Consumer;
 import org.junit.Test;
-import saddlestall.Dispatcher;
 import saddlestall.Dispatcher.Code;
-import saddlestall.Dispatcher.ListKind;
-import saddlestall.Dispatcher.Settings;
 import saddlestall.Dispatcher.State;
 import saddlestall.benchlink.SettingsJson;
 import umberrun.admission.Account;
@@ -29,9 +25,6 @@
 import umberrun.config.Config.Names;
 import umberrun.core.Clock;
 import umberrun.core.Endpoint;
-import umberrun.core.Owner;
-import umberrun.core.Reply;
-import umberrun.core.Request;
 import umberrun.stats.Counters;
 
 /** What the way to the workers keeps, and what it reads, without a socket. */
@@ -117,81 +110,6 @@
     }
   }
 
-  /** Where a deployment tells how many calls of a function a worker held, an absent count is none; where it does not, it is unknown. */
-  @Test
-  public void anAbsentCountIsNoneOnlyWhereCountsAreTold() throws Exception {
-    assertEquals(0, crowdTold("{\"CountsAlike\":true}"));
-    assertEquals(-1, crowdTold("{\"CountsAlike\":false}"));
-    assertEquals(-1, crowdTold("{}"));
-  }
-
-  /** What the module is told of the crowd, with these settings of a deployment, by an answer that does not say it. */
-  private static int crowdTold(String family) throws Exception {
-    Settings settings = SettingsJson.read("{\"Classes\":[{\"Name\":\"a\",\"Aim\":800,\"GiveUp\":9000,\"Worth\":1}],\"FamilyInfo\":" + family + "}");
-    Vertx vertx = Vertx.vertx();
-    Context context = vertx.getOrCreateContext();
-    CompletableFuture<Integer> crowd = new CompletableFuture<>();
-    try {
-      int port = vertx.createNetServer().connectHandler(s -> s.handler(b -> s.write(RespParser.command(Buffer.buffer("9b1f"),
-          Buffer.buffer("200"), Buffer.buffer("n=w"), Buffer.buffer("body"))))).listen(0, "127.0.0.1").toCompletionStage()
-          .toCompletableFuture().get(10, TimeUnit.SECONDS).actualPort();
-      context.runOnContext(v -> {
-        Owner owner = new Owner(vertx, context, new Clock(), new Counters(), settings, text -> { }, actions -> new Recorder(crowd),
-            o -> pool(vertx, settings));
-        owner.list(ListKind.FULL, List.of(endpoint(1, port, State.READY)));
-        owner.take(new Request(Buffer.buffer("9b1f"), 0, 0, Buffer.buffer("7f"), 0x7f, null, 9_000_000, false, Request.Figures.NONE,
-            Buffer.buffer()), new Silent());
-      });
-      return crowd.get(10, TimeUnit.SECONDS);
-    } finally {
-      vertx.close();
-    }
-  }
-
-  private static WorkerPool pool(Vertx vertx, Settings settings) {
-    try {
-      return new WorkerPool(vertx, new Clock(), new Counters(), settings,
-          new Names(List.of("a"), List.of(), List.of(), List.of(), 60_000, 100, 1_000), new Account(256, false, false, 0));
-    } catch (Account.TooFew e) {
-      throw new AssertionError(e);
-    }
-  }
-
-  /** In the module's place: sends each call to the one worker, and keeps what the answer told of the crowd. */
-  private static final class Recorder implements Dispatcher {
-    private final CompletableFuture<Integer> crowd;
-    private int worker;
-
-    Recorder(CompletableFuture<Integer> crowd) {
-      this.crowd = crowd;
-    }
-
-    @Override
-    public void handle(long now, Event event, Consumer<Action> actions) {
-      if (event instanceof Members m) {
-        worker = m.members().get(0).worker();
-      } else if (event instanceof Call c) {
-        actions.accept(new Send(c.id(), worker, 0));
-      } else if (event instanceof Outcome o) {
-        crowd.complete(o.crowd());
-      }
-    }
-
-    @Override
-    public void recall(long now, Consumer<Known> facts) { }
-  }
-
-  private static final class Silent implements Reply {
-    @Override
-    public void served(Buffer body) { }
-
-    @Override
-    public void refused(long backoffMillis) { }
-
-    @Override
-    public void failed(boolean overdue) { }
-  }
-
   private static Exchange command(int bytes, CompletableFuture<Code> end) {
     return new Exchange(Buffer.buffer("9b1f"), Long.MAX_VALUE / 2) {
       @Override
