--- a/src/test/java/umberrun/RpcScenariosTest.java
+++ b/src/test/java/umberrun/RpcScenariosTest.java
@@ -102,13 +102,14 @@
       s.play("""
           c1 send 1 slot-change budget=600
           w1 expect RUN
+          w1 send unknown 200
           c1 expect [1,1,["Failed"
-          w1 send 200 n=w late
           w1 expect STOP
+          w1 send 200 n=w late
           c1 send 1 slot-change budget=3000
           w1 expect RUN
           w1 send 200 n=w fresh
-          c1 expect [1,1,null
+          c1 expect [1,1,null fresh
           """);
     }
   }
