--- a/src/main/java/umberrun/core/Owner.java
+++ b/src/main/java/umberrun/core/Owner.java
@@ -142,9 +142,7 @@
   /** Queues a step; callable on the context's thread only, as all sockets live there. */
   public void post(Runnable step) {
     queue.add(step);
-    if (!scheduled) {
-      schedule();
-    }
+    schedule();
   }
 
   /** Carries a step out in its turn; what it gives, once that is done. */
@@ -154,13 +152,19 @@
     return done.future();
   }
 
-  /** A late machine reads on first: guards callers who have gone, as what they said behind their calls lies unread by now. */
   private void schedule() {
-    scheduled = true;
+    if (!queue.isEmpty() && !scheduled) {
+      scheduled = true;
+      onceRead(() -> context.runOnContext(v -> work()));
+    }
+  }
+
+  /** A late machine reads on first: guards callers who have gone, as what they said behind their calls lies unread by now. */
+  private void onceRead(Runnable step) {
     if (lag.lag() <= LITTLE_LAG) {
-      context.runOnContext(v -> work());
-    } else {
-      vertx.setTimer(1, t -> work());
+      step.run();
+    } else { // a timer that a task sets is due after the next look at the sockets
+      context.runOnContext(v -> vertx.setTimer(1, t -> step.run()));
     }
   }
 
@@ -174,9 +178,7 @@
         log.accept("fault: " + e + " at " + (e.getStackTrace().length > 0 ? e.getStackTrace()[0] : "?"));
       }
     }
-    if (!queue.isEmpty() && !scheduled) {
-      schedule();
-    }
+    schedule();
   }
 
   private void tell(Event event) {
@@ -240,7 +242,7 @@
     calls.put(call.id, call);
     rids.add(request.rid());
     bytesInHand += request.body().length();
-    post(() -> begin(call));
+    onceRead(() -> post(() -> begin(call))); // not by the pass that others' steps have scheduled
     return call;
   }
 
@@ -306,9 +308,7 @@
     call.timers.clear();
     answer.accept(call.reply);
     release(call);
-    if (owed == 0 && whenIdle != null) {
-      post(this::lookIfIdle);
-    }
+    post(this::lookIfIdle);
   }
 
   /** Lets go of a call that is over once no attempt is out. */
--- a/src/test/java/umberrun/CrossingsTest.java
+++ b/src/test/java/umberrun/CrossingsTest.java
@@ -5,9 +5,7 @@
 import static org.junit.Assert.assertNotEquals;
 import static org.junit.Assert.assertTrue;
 
-import io.vertx.core.Context;
 import java.net.ConnectException;
-import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
@@ -256,7 +254,7 @@
     try (Scenario s = Scenario.of("w1")) {
       s.worker("w1").answersAll = true;
       s.play("c1 send 9 heartbeat\nc1 expect [1,9,null");
-      playAcross(s, 4_900, 200, "c1 send 1 date-lookup");
+      s.playAcross(4_900, 200, "c1 send 1 date-lookup");
       s.play("c1 expect [1,1,"); // it may well be that a machine as late as this refuses it
     }
   }
@@ -329,7 +327,7 @@
       }
       // Behind the process's own timer, for as long: what it posts then has run two turns later, and nothing was owed.
       try {
-        playAcross(s, 700, 40, "c1 send 1 date-lookup budget=9000");
+        s.playAcross(700, 40, "c1 send 1 date-lookup budget=9000");
         s.play("w1 expect RUN 2d41");
         assertTrue("ended with a call in hand", leave.isAlive());
         s.play("w1 send 200 n=w told\nc1 expect [1,1,null told");
@@ -343,28 +341,6 @@
     }
   }
 
-  /** Plays these lines while the loop stands still, from so many milliseconds on and for so many more, across what is due then. */
-  private static void playAcross(Scenario s, long from, long more, String lines) throws Exception {
-    CountDownLatch stands = new CountDownLatch(1);
-    CountDownLatch over = new CountDownLatch(1);
-    Context loop = s.server.context();
-    loop.runOnContext(v -> loop.owner().setTimer(from, t -> loop.runOnContext(x -> loop.runOnContext(y -> {
-      stands.countDown();
-      try {
-        over.await();
-      } catch (InterruptedException e) {
-        Thread.currentThread().interrupt();
-      }
-    }))));
-    stands.await();
-    try {
-      s.play(lines);
-      Thread.sleep(more); // what is due falls due
-    } finally {
-      over.countDown();
-    }
-  }
-
   /** Half of a request has come when the process is told to end: it takes the rest, and answers, at both fronts. */
   @Test
   public void anEndWaitsForTheRestOfARequest() throws Exception {
--- a/src/test/java/umberrun/Scenario.java
+++ b/src/test/java/umberrun/Scenario.java
@@ -8,6 +8,7 @@
 import com.google.gson.JsonObject;
 import com.sun.net.httpserver.HttpExchange;
 import com.sun.net.httpserver.HttpServer;
+import io.vertx.core.Context;
 import java.io.ByteArrayOutputStream;
 import java.io.DataInputStream;
 import java.io.IOException;
@@ -34,6 +35,8 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.locks.LockSupport;
+import java.util.function.Consumer;
 import org.msgpack.core.MessagePack;
 import org.msgpack.core.MessageUnpacker;
 import org.msgpack.value.Value;
@@ -285,9 +288,21 @@
 
   /** Plays these lines while the front end's loop stands still, as on a machine that is late. */
   void playUnseen(String lines, Loop check) throws Exception {
+    playStanding(stand -> server.context().runOnContext(v -> stand.run()), lines, check);
+  }
+
+  /** The same from so many milliseconds on and for so many more, across what is due then, and two turns after that. */
+  void playAcross(long from, long more, String lines) throws Exception {
+    Context loop = server.context();
+    playStanding(stand -> loop.runOnContext(v -> loop.owner().setTimer(from,
+        t -> loop.runOnContext(x -> loop.runOnContext(y -> stand.run())))), lines,
+        () -> LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(more))); // what is due falls due
+  }
+
+  private void playStanding(Consumer<Runnable> arrange, String lines, Loop check) throws Exception {
     CountDownLatch stands = new CountDownLatch(1);
     CountDownLatch over = new CountDownLatch(1);
-    server.context().runOnContext(v -> {
+    arrange.accept(() -> {
       stands.countDown();
       try {
         over.await();
@@ -444,7 +459,7 @@
     /** Calls and orders to load that came. */
     final AtomicInteger work = new AtomicInteger();
     /** Takes what comes in the place of such answers. */
-    volatile java.util.function.Consumer<Command> serves;
+    volatile Consumer<Command> serves;
     /** The body of such an answer; the call's own where it is null. */
     volatile String longAnswer;
 
