--- a/src/test/java/umberrun/Processes.java
+++ b/src/test/java/umberrun/Processes.java
@@ -5,6 +5,7 @@
 
 import com.google.gson.JsonObject;
 import com.google.gson.JsonParser;
+import com.sun.net.httpserver.HttpExchange;
 import com.sun.net.httpserver.HttpServer;
 import java.io.File;
 import java.io.IOException;
@@ -20,6 +21,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.Callable;
+import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -54,14 +56,21 @@
     final int learning = freePort();
     final Path folder;
     final Path log;
+    /** Where this front end reaches the change log. */
+    final Discovery discovery;
     Process process;
     /** The test stopped or ended it: calls to it may end without an answer. */
     volatile boolean disturbed;
+    /** Its clients make no calls for now. */
+    volatile boolean quiet;
+    /** Starts find the configuration as an earlier one left it. */
+    boolean keepsConfiguration;
 
     Node(int number) throws IOException {
       this.number = number;
       this.folder = Files.createDirectories(root.resolve("n" + number));
       this.log = root.resolve("n" + number + ".log");
+      this.discovery = new Discovery();
     }
 
     String address() {
@@ -120,11 +129,78 @@
     }
   }
 
+  /** What discovery does to those who ask it: {@code STALE} answers in time and tells nothing of what happens. */
+  enum Reach { WELL, REFUSES, HANGS, FAILS, STALE }
+
+  /** One front end's way to the change log: a listener of its own, which may fail in each way that a server can. */
+  final class Discovery {
+    private final int port = freePort();
+    private HttpServer server;
+    private volatile Reach reach = Reach.REFUSES;
+    private volatile int told;
+
+    Discovery() throws IOException {
+      set(Reach.WELL);
+    }
+
+    String address() {
+      return LOOPBACK + ":" + port;
+    }
+
+    /** Changes what is done from now on; what is being asked then is answered no more, but for {@code STALE}. */
+    synchronized void set(Reach next) throws IOException {
+      told = eventCount();
+      boolean listened = reach != Reach.REFUSES;
+      reach = next;
+      if (listened && next != Reach.STALE) {
+        server.stop(0);
+      }
+      if (next != Reach.REFUSES && !(listened && next == Reach.STALE)) {
+        server = HttpServer.create(new InetSocketAddress(InetAddress.getByName(LOOPBACK), port), 0);
+        server.setExecutor(ANSWERS);
+        server.createContext("/changes", this::answer);
+        server.start();
+      }
+    }
+
+    private void answer(HttpExchange x) throws IOException {
+      int since = Integer.parseInt(x.getRequestURI().getQuery().split("[=&]")[1]);
+      if (reach == Reach.FAILS) {
+        x.sendResponseHeaders(503, -1);
+        x.close();
+        return;
+      }
+      awaitEvents(since);
+      if (reach == Reach.WELL || reach == Reach.STALE) {
+        byte[] news = changes(since, reach == Reach.STALE ? told : eventCount()).getBytes(StandardCharsets.UTF_8);
+        x.sendResponseHeaders(200, news.length);
+        x.getResponseBody().write(news);
+        x.close();
+      }
+    }
+
+    private void awaitEvents(int since) {
+      synchronized (events) {
+        if (events.size() <= since || reach == Reach.STALE) {
+          try {
+            events.wait(1_000);
+          } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+          }
+        }
+      }
+    }
+  }
+
   final List<Node> nodes = new ArrayList<>();
   final Relay[][] relays;
   private final Path root = Files.createTempDirectory("processes");
   final List<Scenario.Worker> workers = new ArrayList<>();
-  private final HttpServer changeLog;
+  private static final ExecutorService ANSWERS = Executors.newCachedThreadPool(r -> {
+    Thread t = new Thread(r, "change log");
+    t.setDaemon(true);
+    return t;
+  });
   /** Of the change log; the first one has the whole list. */
   private final List<String> events = new ArrayList<>();
   private final IntFunction<Map<String, Object>> sections;
@@ -168,7 +244,7 @@
 
   private final int coldMillis;
 
-  /** @param sections further sections of each front end's operator's file, as maps */
+  /** @param sections further sections of each front end's operator's file, as maps; null for none at all */
   Processes(int size, int workerCount, IntFunction<Map<String, Object>> sections) throws Exception {
     this(size, workerCount, sections, 17_000);
   }
@@ -188,29 +264,6 @@
       all.add(endpoint(i, "in_service", 0));
     }
     events.add(event(1, true, String.join(",", all)));
-    changeLog = HttpServer.create(new InetSocketAddress(InetAddress.getByName(LOOPBACK), 0), 0);
-    changeLog.setExecutor(Executors.newCachedThreadPool(r -> {
-      Thread t = new Thread(r);
-      t.setDaemon(true);
-      return t;
-    }));
-    changeLog.createContext("/changes", x -> {
-      int since = Integer.parseInt(x.getRequestURI().getQuery().split("[=&]")[1]);
-      synchronized (events) {
-        if (events.size() <= since) {
-          try {
-            events.wait(1_000);
-          } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-          }
-        }
-      }
-      byte[] news = changesSince(since).getBytes(StandardCharsets.UTF_8);
-      x.sendResponseHeaders(200, news.length);
-      x.getResponseBody().write(news);
-      x.close();
-    });
-    changeLog.start();
     for (int i = 0; i < size; i++) {
       nodes.add(new Node(i));
     }
@@ -254,10 +307,15 @@
     return "{\"seq\":" + seq + ",\"fleet\":{\"index\":" + seq + ",\"snapshot\":" + whole + ",\"endpoints\":[" + endpoints + "]}}";
   }
 
-  private String changesSince(int since) {
+  private int eventCount() {
     synchronized (events) {
-      return "{\"seq\":" + events.size() + ",\"results\":[" + String.join(",", events.subList(Math.min(since, events.size()), events.size()))
-          + "]}";
+      return events.size();
+    }
+  }
+
+  private String changes(int since, int until) {
+    synchronized (events) {
+      return "{\"seq\":" + until + ",\"results\":[" + String.join(",", events.subList(Math.min(since, until), until)) + "]}";
     }
   }
 
@@ -286,6 +344,21 @@
   }
 
   private Process launch(Node n) throws IOException {
+    ProcessBuilder b = new ProcessBuilder("/bin/sh", "-c", command).redirectErrorStream(true)
+        .redirectOutput(ProcessBuilder.Redirect.appendTo(n.log.toFile())).directory(new File("."));
+    Path config = n.folder.resolve("config.json");
+    if (!n.keepsConfiguration) {
+      Files.writeString(config, configuration(n));
+    }
+    b.environment().putAll(Map.of("EDGE_CONFIG", config.toString(), "TMPDIR", n.folder.toString(), "EDGE_OPERATOR",
+        LOOPBACK + ":" + n.door));
+    if (sections != null) {
+      b.environment().put("UMBERRUN_OPERATOR", Files.writeString(n.folder.resolve("operator.json"), operatorFile(n)).toString());
+    }
+    return b.start();
+  }
+
+  private String operatorFile(Node n) {
     JsonObject via = new JsonObject();
     for (Node other : nodes) {
       if (other != n) {
@@ -305,18 +378,17 @@
       learning.addProperty("listen", LOOPBACK + ":" + n.learning);
       file.add("learning", learning);
     }
-    Path operator = Files.writeString(n.folder.resolve("operator.json"), file.toString());
+    return file.toString();
+  }
+
+  /** The configuration as it is now: what discovery tells to this front end is known, up to the event that it tells. */
+  String configuration(Node n) {
     String settings = Scenario.SETTINGS.replace("\"Siblings\":3", "\"Siblings\":" + relays.length)
         .replace("\"Zone\":0", "\"Zone\":" + n.number % 3)
         .replace("\"Cold\":17000", "\"Cold\":" + coldMillis);
-    Path config = Files.writeString(n.folder.resolve("config.json"), "{\"name\":\"n" + n.number + "\",\"listen\":\"127.0.0.1:"
-        + n.rpc + "\",\"limits\":{\"memory_mb\":192,\"sockets\":1024},\"changelog\":\"127.0.0.1:"
-        + changeLog.getAddress().getPort() + "\",\"known\":" + changesSince(0) + ",\"settings\":" + settings + "}");
-    ProcessBuilder b = new ProcessBuilder("/bin/sh", "-c", command).redirectErrorStream(true)
-        .redirectOutput(ProcessBuilder.Redirect.appendTo(n.log.toFile())).directory(new File("."));
-    b.environment().putAll(Map.of("EDGE_CONFIG", config.toString(), "UMBERRUN_OPERATOR", operator.toString(),
-        "TMPDIR", n.folder.toString(), "EDGE_OPERATOR", LOOPBACK + ":" + n.door));
-    return b.start();
+    return "{\"name\":\"n" + n.number + "\",\"listen\":\"127.0.0.1:" + n.rpc
+        + "\",\"limits\":{\"memory_mb\":192,\"sockets\":1024},\"changelog\":\"" + n.discovery.address() + "\",\"known\":"
+        + changes(0, eventCount()) + ",\"settings\":" + settings + "}";
   }
 
   static void awaitReady(int door) throws Exception {
@@ -407,6 +479,12 @@
           served.addAndGet(answer.get(2).isNilValue() ? 1 : 0);
           seen.answer(n, micros, answer.get(2).isNilValue() ? null : answer.get(2).toString());
           Thread.sleep(pauseMillis);
+          if (n.quiet) { // a connection that rests for so long is closed
+            break;
+          }
+        }
+        while (n.quiet && !over) {
+          Thread.sleep(pauseMillis);
         }
       } catch (IOException e) {
         try {
@@ -447,7 +525,9 @@
     for (Scenario.Worker w : workers) {
       w.close();
     }
-    changeLog.stop(0);
+    for (Node n : nodes) {
+      n.discovery.set(Reach.REFUSES);
+    }
     for (Relay[] row : relays) {
       for (Relay r : row) {
         if (r != null) {
