--- a/src/main/java/umberrun/admission/Account.java
+++ b/src/main/java/umberrun/admission/Account.java
@@ -81,6 +81,11 @@
     }
   }
 
+  /** Among how many processes of this front end its limits are shared. */
+  public int processes() {
+    return processes;
+  }
+
   /** So many processes of this front end live, and share its limits. What is held beyond a share stays until it closes. */
   public void shareAmong(int processes) {
     this.processes = processes;
--- a/src/main/java/umberrun/front/rpc/RpcFront.java
+++ b/src/main/java/umberrun/front/rpc/RpcFront.java
@@ -97,7 +97,7 @@
 
   /** Whether an answer of so many bytes may wait for its client; guards the memory against those that read slowly. */
   boolean hasRoomFor(int bytes) {
-    return queued + bytes <= mostQueued;
+    return queued + bytes <= mostQueued / account.processes(); // the memory is for all processes of this front end
   }
 
   /** So many more bytes wait for clients, or fewer. */
