--- a/src/test/java/umberrun/DiscoveryOutageIT.java
+++ b/src/test/java/umberrun/DiscoveryOutageIT.java
@@ -8,7 +8,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.After;
@@ -28,71 +27,22 @@
  * <p>Cause: what the list had said last held for ever. {@code WorkerPool.mayStart} knew only what was pushed, and nothing dated it.
  */
 public class DiscoveryOutageIT {
-  /** After which what discovery has to tell counts as told, the settings' grace, and the slack of all time limits. */
-  private static final long TOLD_AND_GRACE_MILLIS = 7_000 + 1_000 + 50;
   /** What happens until this long after a signal for a new configuration counts as told then. */
   private static final long TOLD_AFTER_SIGNAL_MILLIS = 4_000;
   private static final long BEFORE_DRAIN_MILLIS = 400;
   /** Each of two front ends tries each of two such workers every 8 s at the latest, and a wait may have begun just before. */
   private static final int MOST_LATE_UNTOLD = 8;
-  /** Ids of calls tell which front end's client made them. */
-  private static final long IDS_EACH = 1_000_000;
   private static final long PATIENCE_SECONDS = 10;
 
   private Processes fleet;
-  private final List<Host> hosts = new ArrayList<>();
+  private final List<DrainableWorker> hosts = new ArrayList<>();
   /** For how long after its drain a worker may get work from a front end, where that is less than usual. */
   private final Map<Integer, Long> allowedMillis = new ConcurrentHashMap<>();
   private final AtomicInteger calls = new AtomicInteger();
   private final AtomicInteger errors = new AtomicInteger();
 
-  /** A stand-in worker that notes what comes. Draining, it turns new work away, and says to whoever just asks that it is well. */
-  private final class Host {
-    final int number;
-    final AtomicInteger work = new AtomicInteger();
-    final AtomicInteger orders = new AtomicInteger();
-    final ConcurrentLinkedQueue<String> late = new ConcurrentLinkedQueue<>();
-    private volatile long drainsAt = Long.MAX_VALUE;
-
-    Host(int number) {
-      this.number = number;
-      fleet.workers.get(number).serves = this::serve;
-    }
-
-    private void serve(Scenario.Command command) {
-      List<String> words = command.words();
-      boolean order = words.get(0).equals("HOLD") && !words.get(2).endsWith("pods=0");
-      boolean isWork = order || words.get(0).equals("RUN");
-      long since = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - drainsAt);
-      boolean drains = drainsAt != Long.MAX_VALUE;
-      if (isWork) {
-        (order ? orders : work).incrementAndGet();
-        if (drains && since > allowed(order ? -1 : (int) (Long.parseLong(words.get(1), 16) / IDS_EACH))) {
-          late.add(words.get(0) + " " + words.get(1) + " at " + since + " ms");
-        }
-      }
-      if (!words.get(0).equals("STOP") && !words.get(0).equals("FREE")) {
-        answer(command, isWork && drains ? "503" : isWork || words.get(0).equals("HOLD") ? "200" : "alive");
-      }
-    }
-
-    private void answer(Scenario.Command command, String word) {
-      boolean call = command.words().get(0).equals("RUN");
-      try {
-        Scenario.Worker.answer(command, word, word.equals("503") ? "-" : call ? "n=w" : "pods=1", call ? command.words().get(3) : "");
-      } catch (java.io.IOException e) {
-        // the front end has closed
-      }
-    }
-
-    void drain() {
-      drainsAt = System.nanoTime();
-      fleet.list(number, "terminating", 0);
-    }
-  }
-
   private long allowed(int node) {
-    return allowedMillis.getOrDefault(node, TOLD_AND_GRACE_MILLIS);
+    return allowedMillis.getOrDefault(node, DrainableWorker.TOLD_AND_GRACE_MILLIS);
   }
 
   private void start(int size, int workers, int pauseMillis) throws Exception {
@@ -103,7 +53,7 @@
       errors.addAndGet(error == null ? 0 : 1);
     };
     for (int i = 0; i < workers; i++) {
-      hosts.add(new Host(i));
+      hosts.add(new DrainableWorker(fleet, i, this::allowed));
     }
   }
 
@@ -123,13 +73,13 @@
     }
   }
 
-  private List<Host> drainTheBusiest(int count) {
-    List<Host> busiest = hosts.stream().sorted(Comparator.comparingInt((Host h) -> h.work.get()).reversed()).limit(count).toList();
-    busiest.forEach(Host::drain);
+  private List<DrainableWorker> drainTheBusiest(int count) {
+    List<DrainableWorker> busiest = hosts.stream().sorted(Comparator.comparingInt((DrainableWorker h) -> h.work.get()).reversed()).limit(count).toList();
+    busiest.forEach(DrainableWorker::drain);
     return busiest;
   }
 
-  private static void assertNoneLate(List<Host> drained) {
+  private static void assertNoneLate(List<DrainableWorker> drained) {
     StringBuilder late = new StringBuilder();
     drained.forEach(h -> late.append(h.late.isEmpty() ? "" : "w" + h.number + " got " + h.late.size() + " late, first " + h.late.peek() + "; "));
     assertEquals("", late.toString());
@@ -143,7 +93,7 @@
     reach(Reach.REFUSES, Reach.HANGS, Reach.FAILS, Reach.REFUSES);
     node(3).quiet = true;
     Thread.sleep(BEFORE_DRAIN_MILLIS);
-    List<Host> drained = drainTheBusiest(2);
+    List<DrainableWorker> drained = drainTheBusiest(2);
     Thread.sleep(10_000);
     node(3).quiet = false;
     Thread.sleep(4_000);
@@ -169,7 +119,7 @@
     int[] before = hosts.stream().mapToInt(h -> h.work.get()).toArray();
     Thread.sleep(10_000);
 
-    for (Host h : hosts) {
+    for (DrainableWorker h : hosts) {
       assertTrue("w" + h.number + " gets nothing", h.work.get() > before[h.number] || usual[h.number] == 0);
     }
     assertEquals(0, errors.get());
@@ -185,7 +135,7 @@
     Processes.await("too few calls", PATIENCE_SECONDS, () -> calls.get() > 400);
     reach(Reach.REFUSES, Reach.REFUSES, Reach.REFUSES, Reach.REFUSES);
     Thread.sleep(BEFORE_DRAIN_MILLIS);
-    List<Host> drained = drainTheBusiest(2);
+    List<DrainableWorker> drained = drainTheBusiest(2);
     long drainedAt = System.nanoTime();
     node(0).keepsConfiguration = true;
     fleet.moveDiscovery(node(2));
@@ -218,7 +168,7 @@
     Processes.await("too few calls", PATIENCE_SECONDS, () -> calls.get() > 400);
     reach(Reach.STALE, Reach.STALE);
     Thread.sleep(BEFORE_DRAIN_MILLIS);
-    List<Host> drained = drainTheBusiest(2);
+    List<DrainableWorker> drained = drainTheBusiest(2);
     Thread.sleep(16_000);
     int late = drained.stream().mapToInt(h -> h.late.size()).sum();
     assertTrue(late + " calls were sent past told time and grace", late <= MOST_LATE_UNTOLD);
--- a/src/test/java/umberrun/Processes.java
+++ b/src/test/java/umberrun/Processes.java
@@ -42,6 +42,11 @@
   private static final String LOOPBACK = "127.0.0.1";
   private static final long START_SECONDS = 30;
   private static final int CALL_BUDGET_MILLIS = 3_000;
+  /** The longest deadline, counted as 3 s, and 0.7 s. */
+  private static final long LONGEST_END_MILLIS = 3_700;
+  private static final long STILL_TAKEN_NANOS = TimeUnit.MILLISECONDS.toNanos(700);
+  /** A request that crosses a close within this is sent once more. */
+  private static final long CROSSING_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
   private static final int FIRST_PORT = 18_000;
   private static final int PORTS = 12_000;
   /** Begins elsewhere with each run, so that runs beside each other seldom meet. */
@@ -61,6 +66,8 @@
     Process process;
     /** The test stopped or ended it: calls to it may end without an answer. */
     volatile boolean disturbed;
+    /** When it was told to end, 0 while it was not; what comes within 0.7 s of that is owed its answer all the same. */
+    volatile long toldToEndAt;
     /** Its clients make no calls for now. */
     volatile boolean quiet;
     /** Starts find the configuration as an earlier one left it. */
@@ -98,6 +105,25 @@
       assertEquals(0, new ProcessBuilder("kill", "-" + name, Long.toString(process.pid())).start().waitFor());
     }
 
+    /** Tells it to end, and ends it where it has not done so at the earliest that a platform may; done once it has ended. */
+    void restart() throws Exception {
+      toldToEndAt = System.nanoTime();
+      disturbed = true;
+      process.destroy();
+      if (!process.waitFor(LONGEST_END_MILLIS, TimeUnit.MILLISECONDS)) {
+        process.destroyForcibly().waitFor();
+      }
+      start();
+      awaitReady(door);
+      toldToEndAt = 0;
+    }
+
+    /** Whether a call that was asked then and whose connection failed now was owed an answer though the process was to end. */
+    private boolean owedBeforeEnd(long asked) {
+      long ended = toldToEndAt;
+      return ended != 0 && asked - ended < STILL_TAKEN_NANOS && System.nanoTime() - asked > CROSSING_NANOS;
+    }
+
     void kill() throws Exception {
       disturbed = true;
       process.destroyForcibly().waitFor();
@@ -485,7 +511,7 @@
           try {
             answer = in.unpackValue().asArrayValue().list();
           } catch (IOException | RuntimeException e) {
-            if (!before && !n.disturbed) {
+            if (!before && !n.disturbed || n.owedBeforeEnd(asked)) {
               faults.add("n" + n.number + " owes the answer to call " + id + ": " + e);
             }
             throw new IOException(e);
