--- a/src/main/java/saddlestall/Dispatcher.java
+++ b/src/main/java/saddlestall/Dispatcher.java
@@ -73,29 +73,37 @@
   /** Points of the result for each unit; used only to weigh what is optional. */
   record Costs(double probe, double crossZone, double waste, double lateFail, double origin, double peer) { }
 
+  /** What a repeat of a call may do: no harm, none under its key for a while, or harm. */
   enum Effect { SAFE, KEYED, UNSAFE }
 
+  /** Which workers drop a repeat of a keyed call. */
   enum Group { ALL, ZONE, CELL }
 
+  /** What the rating of a worker on the list means. */
   enum WeightKind { SILENT, NOMINAL, ROUGH, LIVE }
 
+  /** How load reports come. */
   enum Via { ANSWERS, PROBES, NONE }
 
+  /** What a value of a load report is. */
   enum Field { OUTSTANDING, QUEUE, UTILIZATION, RECENT_MS, THROUGHPUT, ERRORS, PINNED_MEMORY, LOADS, OTHER }
 
   // ---------------------------------------------------------------- events
 
+  /** Something that has happened. */
   sealed interface Event permits Members, Call, Started, Outcome, Left, Due, Loaded, Heard, Probed, Known,
       Siblings, Wanted, Expiring { }
 
   /** News of the list of workers. */
   record Members(ListKind kind, List<Member> members) implements Event { }
 
+  /** Changes of the list, the whole of it, the whole as it was last held, or a request for it that failed. */
   enum ListKind { DELTA, FULL, CACHED, FAILED }
 
   /** One line of the list. {@code cameUp} is the clock time of the last start, 0 for long past. */
   record Member(int worker, int zone, int kind, int cell, State state, double rating, long cameUp) { }
 
+  /** What the list says of a worker; one that drains finishes its work and gets nothing new. */
   enum State { GONE, READY, DRAINING }
 
   /** A client's call; it is owed exactly one final answer within {@code patience}. */
@@ -169,6 +177,7 @@
 
   // ---------------------------------------------------------------- actions
 
+  /** Something to be done. */
   sealed interface Action
       permits Send, Refuse, Fail, Cancel, Timer, Probe, Tell, Log, Watch, Fetch, Hold, Drop, Close { }
 
@@ -187,6 +196,7 @@
   /** Asks for a {@link Due} after {@code delay}. A token of 0 or more names a call, and is void once that is over. */
   record Timer(long delay, long token) implements Action { }
 
+  /** Asks a worker how it is. */
   record Probe(int worker) implements Action { }
 
   /** Sends bytes to one peer, or to all with -1. */
--- a/src/main/java/umberrun/agreement/Message.java
+++ b/src/main/java/umberrun/agreement/Message.java
@@ -9,6 +9,7 @@
   /** Asks a voter what it has accepted last, and nothing of it: a look disturbs nobody's change. */
   record Look(long op, String register) implements Message { }
 
+  /** What the voter has accepted last. */
   record Looked(long op, Ballot accepted, Value value) implements Message { }
 
   /** Asks a voter not to accept anything older. */
@@ -20,6 +21,7 @@
   /** Asks a voter to accept. */
   record Accept(long op, String register, Ballot ballot, Value value) implements Message { }
 
+  /** It has accepted. */
   record Accepted(long op) implements Message { }
 
   /** It has promised more to another. */
@@ -40,6 +42,7 @@
   /** Asks a voter which registers it has. */
   record ListNames(long op) implements Message { }
 
+  /** The registers that it has. */
   record Names(long op, List<String> names) implements Message { }
 
   /**
--- a/src/main/java/umberrun/discovery/WorkerLeases.java
+++ b/src/main/java/umberrun/discovery/WorkerLeases.java
@@ -3,10 +3,8 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 
 /**
  * The permission to send new work to a worker, as a lease: contact with discovery renews it for all workers, work that a worker took on
--- a/src/main/java/umberrun/handover/Handover.java
+++ b/src/main/java/umberrun/handover/Handover.java
@@ -1,7 +1,6 @@
 package umberrun.handover;
 
 import io.vertx.core.Future;
-import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
 import java.io.IOException;
 import java.nio.file.FileAlreadyExistsException;
--- a/src/test/java/umberrun/Processes.java
+++ b/src/test/java/umberrun/Processes.java
@@ -47,8 +47,9 @@
   private static final long STILL_TAKEN_NANOS = TimeUnit.MILLISECONDS.toNanos(700);
   /** A request that crosses a close within this is sent once more. */
   private static final long CROSSING_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
-  private static final int FIRST_PORT = 18_000;
-  private static final int PORTS = 12_000;
+  /** Runs beside each other for long are given ports of their own. */
+  private static final int FIRST_PORT = Integer.getInteger("ports.first", 18_000);
+  private static final int PORTS = Integer.getInteger("ports.count", 12_000);
   /** Begins elsewhere with each run, so that runs beside each other seldom meet. */
   private static int lastPort = FIRST_PORT + (int) (ProcessHandle.current().pid() * 97 % PORTS);
 
--- a/src/test/java/umberrun/admission/AccountTest.java
+++ b/src/test/java/umberrun/admission/AccountTest.java
@@ -12,6 +12,7 @@
 import umberrun.admission.Account.TooFew;
 import umberrun.admission.Account.Use;
 
+/** Connections within the descriptors, and shares while two processes live. */
 public class AccountTest {
 
   /** Whatever opens and closes, alone or beside another process, nothing is held beyond the descriptors. */
--- a/src/test/java/umberrun/core/BansTest.java
+++ b/src/test/java/umberrun/core/BansTest.java
@@ -10,6 +10,7 @@
 import saddlestall.Dispatcher.State;
 import umberrun.core.Bans.Standing;
 
+/** What operators and plans have said of workers, over what the list says. */
 public class BansTest {
   private final Bans bans = new Bans(1_000_000);
 
--- a/src/test/java/umberrun/core/DutyTest.java
+++ b/src/test/java/umberrun/core/DutyTest.java
@@ -8,6 +8,7 @@
 import org.junit.Test;
 import umberrun.core.Duty.State;
 
+/** What a process owes its clients in each state, by the times of its drains and its end. */
 public class DutyTest {
   private static final long SECOND = 1_000_000;
   private final Duty duty = new Duty(5 * SECOND);
--- a/src/test/java/umberrun/handover/LedgerTest.java
+++ b/src/test/java/umberrun/handover/LedgerTest.java
@@ -22,6 +22,7 @@
 import umberrun.handover.Ledger.Other;
 import umberrun.handover.Ledger.State;
 
+/** What the files that processes of one front end share keep through crashes, torn writes and processes that died. */
 public class LedgerTest {
   @Rule
   public final TemporaryFolder folder = new TemporaryFolder();
--- a/src/test/java/umberrun/learning/KnowledgeTest.java
+++ b/src/test/java/umberrun/learning/KnowledgeTest.java
@@ -20,6 +20,7 @@
 import umberrun.learning.Page.Unusable;
 import umberrun.learning.Screen.Standing;
 
+/** How facts merge and age, and which of them may not be believed. */
 public class KnowledgeTest {
   private static final long SECOND = 1_000_000;
 
--- a/src/test/java/umberrun/works/WorksSeedsTest.java
+++ b/src/test/java/umberrun/works/WorksSeedsTest.java
@@ -1,22 +1,17 @@
 package umberrun.works;
 
-import static org.junit.Assert.assertEquals;
 import static org.junit.Assert.assertNotNull;
 import static org.junit.Assert.assertNull;
-import static org.junit.Assert.assertThrows;
 import static org.junit.Assert.assertTrue;
 
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
-import java.util.Set;
 import java.util.SplittableRandom;
 import org.junit.Test;
 import umberrun.works.Ledger.Late;
 import umberrun.works.Ledger.Machine;
 import umberrun.works.Ledger.Member;
 import umberrun.works.Ledger.Plan;
-import umberrun.works.Ledger.Refused;
 import umberrun.works.Ledger.State;
 import umberrun.works.sim.WorksTrial;
 import umberrun.works.sim.WorksTrial.Maker;
