--- a/src/main/java/saddlestall/Checks.java
+++ b/src/main/java/saddlestall/Checks.java
@@ -5,7 +5,7 @@
 
 /** Refuses settings that cannot be served, naming the field. */
 final class Checks {
-  private Checks() { }
+  private Checks() {}
 
   static void check(Settings s) {
     require(!s.classes().isEmpty(), "classes");
--- a/src/main/java/saddlestall/Choice.java
+++ b/src/main/java/saddlestall/Choice.java
@@ -9,10 +9,11 @@
 import java.util.function.Consumer;
 
 /**
- * Every decision of one front end. The interface is Dispatcher.java; Memory.java, Maths.java decide nothing.
+ * Every decision of one front end. The interface is Dispatcher.java; Memory.java, Maths.java decide
+ * nothing.
  *
- * <p>One learned linear score rates every worker for a call, a softmax draws one, and the weights step online
- * by time in flight, clipped as in PPO (docs/design.md). Times are in microseconds.
+ * <p>One learned linear score rates every worker for a call, a softmax draws one, and the weights
+ * step online by time in flight, clipped as in PPO (docs/design.md). Times are in microseconds.
  */
 public final class Choice extends Memory implements Dispatcher {
 
@@ -26,7 +27,8 @@
   private static final int WARM = 0; // belief that a copy stands loaded with a free lane
   private static final int LOAD = 1; // expected wait for a load, over the time that is left
   private static final int OWN = 2; // own calls in flight for its size, against its peers
-  private static final int PLAN = 3; // load that the homes of all functions bring it, against its peers
+  private static final int PLAN =
+      3; // load that the homes of all functions bring it, against its peers
   private static final int PACE = 4; // time in flight for the work, against its peers
   private static final int CROWD = 5; // calls beyond the lanes of its copy
   private static final int HOME = 6; // place in the function's home order
@@ -41,7 +43,8 @@
   private static final double CLIP = 0.2;
   private static final double STEP = 0.1;
   private static final double PULL = 0.01; // share of the way back to the start, each batch
-  private static final double REACH = 0.5; // most that a weight strays: this share of its start, plus this
+  private static final double REACH =
+      0.5; // most that a weight strays: this share of its start, plus this
   private static final double SPREAD = 0.1; // of payoffs about the critic's, before any is seen
   private static final double CRITIC_STEP = 0.02;
 
@@ -51,48 +54,68 @@
   private static final double RATE_SPAN = 5; // seconds over which rates are taken, at the least
   private static final double MIX_SPAN = 20; // and at the most, where a front end takes few calls
   private static final double MIX_CALLS = 100; // calls that show the mix of functions well enough
-  private static final double MIX_PRIOR = 20; // calls of functions not seen that the mix starts from
-  private static final double QUOTA_USED = 0.7; // share of all tenants' quotas that is usually asked for
+  private static final double MIX_PRIOR =
+      20; // calls of functions not seen that the mix starts from
+  private static final double QUOTA_USED =
+      0.7; // share of all tenants' quotas that is usually asked for
   private static final double QUOTA_CALLS = 20; // own calls that weigh as much as that
   private static final double PACE_CALLS = 20; // own calls in whose time a pace is forgotten
-  private static final double PACE_SCALE = 1.4; // log of the slowness, against the mean, that counts in full
+  private static final double PACE_SCALE =
+      1.4; // log of the slowness, against the mean, that counts in full
   private static final double RUMOUR = 0.8; // most belief in a copy that was not seen
-  private static final double SURE = 0.97; // belief in a copy seen within the time that idle copies stay
+  private static final double SURE =
+      0.97; // belief in a copy seen within the time that idle copies stay
   private static final long KEEP = 10 * SECOND; // how long idle copies stay, where it is not told
   private static final long FORGET = 60 * SECOND; // a function unused for this long is forgotten
   private static final double HOME_FILL = 0.8; // share of its lanes that a home is meant to use
-  private static final double HOME_PART = 0.6; // of a worker's mean load, the most of one function for a home
+  private static final double HOME_PART =
+      0.6; // of a worker's mean load, the most of one function for a home
 
-  private static final double ORDER_CALLS = 8; // recent calls of all front ends that are worth an order
+  private static final double ORDER_CALLS =
+      8; // recent calls of all front ends that are worth an order
   private static final double ORDERS_EACH = 4; // by all front ends, where each has a call
-  private static final double SLOW_LOAD = 2; // a load over so many times its time shows a crowded store
-  private static final double LOADS_EACH = 2; // own loads at once, for a front end's share of the workers
+  private static final double SLOW_LOAD =
+      2; // a load over so many times its time shows a crowded store
+  private static final double LOADS_EACH =
+      2; // own loads at once, for a front end's share of the workers
 
   // Health.
   private static final double BAD_STEP = 0.2; // step of a worker's share of bad outcomes
-  private static final double BAD_LIMIT = 0.8; // share above that of the better workers that benches it
-  private static final double OVERDUE = 3; // an attempt is overdue after so many times its expected time
+  private static final double BAD_LIMIT =
+      0.8; // share above that of the better workers that benches it
+  private static final double OVERDUE =
+      3; // an attempt is overdue after so many times its expected time
   private static final double COMMON = 0.75; // more of the workers bad than this: a common cause
-  private static final double COMMON_AWAY = 0.5; // more of them turn all away: they are short of room
+  private static final double COMMON_AWAY =
+      0.5; // more of them turn all away: they are short of room
   private static final double DEAD_STEP = 0.5; // the same where no connection came up
-  private static final long HALL_SPAN = SECOND; // over which the workers of a hall are looked at together
+  private static final long HALL_SPAN =
+      SECOND; // over which the workers of a hall are looked at together
   private static final int HALL_FAILS = 3; // silent or unreachable workers that bench a whole hall
   private static final long FULL_WAIT_MOST = 2 * SECOND;
-  private static final int AWAY_SIGNS = 5; // calls turned away one after the other that may mean a drain
+  private static final int AWAY_SIGNS =
+      5; // calls turned away one after the other that may mean a drain
   private static final long AWAY_SPAN = 2 * SECOND; // over which they come, at the least
   private static final long AWAY_WAIT_MOST = 8 * SECOND;
-  private static final double FULL_PRESSURE = 2; // what being turned away counts as, in time over aim
+  private static final double FULL_PRESSURE =
+      2; // what being turned away counts as, in time over aim
   private static final long TRIAL_WAIT_MOST = 8 * SECOND;
 
   // Further attempts, cold workers, admission.
   private static final double RETRY_SHARE = 0.2; // further attempts for each call taken
   private static final double RETRY_BURST = 5;
-  private static final double HELD_PART = 0.45; // of its time, the most that a call waits for its first send
-  private static final double HEDGE_AIM = 0.4; // of the aim, the least time after which a second copy is sent
-  private static final double COLD_MARGIN = 0.5; // part of the cold budget used: workers differ in size
-  private static final double PRESSURE_FADE = 0.95; // each tick: old pressure is no reason to refuse
-  private static final double PRESSURE_AIM = 0.75; // mean time in flight, of its aim, that shedding holds to
-  private static final double PRESSURE_CALLS = 4; // calls in good time that pressure is shrunk towards
+  private static final double HELD_PART =
+      0.45; // of its time, the most that a call waits for its first send
+  private static final double HEDGE_AIM =
+      0.4; // of the aim, the least time after which a second copy is sent
+  private static final double COLD_MARGIN =
+      0.5; // part of the cold budget used: workers differ in size
+  private static final double PRESSURE_FADE =
+      0.95; // each tick: old pressure is no reason to refuse
+  private static final double PRESSURE_AIM =
+      0.75; // mean time in flight, of its aim, that shedding holds to
+  private static final double PRESSURE_CALLS =
+      4; // calls in good time that pressure is shrunk towards
   private static final double PRESSURE_USUAL = 0.3; // time over aim of such a call
   private static final double LITTLE_MOST = 2; // times what answers show, for calls in flight
   private static final double SHED_GAIN = 0.05; // each tick, of what the pressure is over its bound
@@ -109,7 +132,9 @@
   private long now;
   private Consumer<Action> out;
 
-  /** Starts one front end. Throws IllegalArgumentException naming a setting that cannot be served. */
+  /**
+   * Starts one front end. Throws IllegalArgumentException naming a setting that cannot be served.
+   */
   public Choice(Settings settings, long seed, long now, Consumer<Action> out) {
     super(settings.classes().size(), settings.tenants().size(), FEATURES, VALUES);
     Checks.check(settings);
@@ -263,8 +288,10 @@
     }
     workers.values().removeIf(w -> w.state == State.GONE && w.out.isEmpty());
     listed(list);
-    if (served == 0 && !list.isEmpty()) { // guards a start among cold workers alone, which would send nothing
-      served = QUOTA_USED * quota / siblings * RATE_SPAN / list.stream().mapToDouble(w -> w.size).sum();
+    if (served == 0
+        && !list.isEmpty()) { // guards a start among cold workers alone, which would send nothing
+      served =
+          QUOTA_USED * quota / siblings * RATE_SPAN / list.stream().mapToDouble(w -> w.size).sum();
     }
     retryHeld();
   }
@@ -281,7 +308,8 @@
       hallLost[hall(w)] = false;
       w.coldBudget = random.nextDouble(); // so that small shares sum up rightly over the front ends
     }
-    if (m.state() == State.READY && w.state != State.READY) { // it was out, and now it is said to be back
+    if (m.state() == State.READY
+        && w.state != State.READY) { // it was out, and now it is said to be back
       w.turnedAway = 0;
       w.awayWait = 0;
       w.awayUntil = 0;
@@ -323,7 +351,8 @@
     mixAge = Math.min(mixAge + TICK, (long) (4 * mixSpan * SECOND));
     double seconds = mixSpan * (1 - StrictMath.exp(-mixAge / (mixSpan * SECOND)));
     double prior = QUOTA_USED * quota / siblings;
-    double own = (taken + (prior > 0 ? QUOTA_CALLS : 0)) / (seconds + (prior > 0 ? QUOTA_CALLS / prior : 0));
+    double own =
+        (taken + (prior > 0 ? QUOTA_CALLS : 0)) / (seconds + (prior > 0 ? QUOTA_CALLS / prior : 0));
     fleetRate = siblings * (prior > 0 ? clamp(own, prior / 2, 2 * prior) : own);
     mixSpan = clamp(MIX_CALLS * seconds / Math.max(1, taken), RATE_SPAN, MIX_SPAN);
   }
@@ -343,13 +372,15 @@
   }
 
   /**
-   * Held calls are tried again. One that can no longer be served within its aim is let go under pressure, and
-   * one that was never sent while there is still time for its client to try elsewhere.
+   * Held calls are tried again. One that can no longer be served within its aim is let go under
+   * pressure, and one that was never sent while there is still time for its client to try
+   * elsewhere.
    */
   private void retryHeld() {
     for (Open call : held.isEmpty() ? List.<Open>of() : new ArrayList<>(held)) {
       held.remove(call);
-      boolean stale = call.sent == 0 && now - call.takenAt > HELD_PART * (call.deadline - call.takenAt);
+      boolean stale =
+          call.sent == 0 && now - call.takenAt > HELD_PART * (call.deadline - call.takenAt);
       if (stale || shed > 0 && now - call.takenAt + unit(call) > call.kind.aim()) {
         finish(call);
       } else {
@@ -373,7 +404,9 @@
     }
   }
 
-  /** Draws by the softmax of the score. A second round takes benched workers and those tried before. */
+  /**
+   * Draws by the softmax of the score. A second round takes benched workers and those tried before.
+   */
   private Worker draw(Open call, boolean second) {
     int n = 0;
     meanOwn = 0;
@@ -385,14 +418,18 @@
       meanPlan += p.plan / p.size / ready.length;
     }
     for (Worker w : ready) {
-      boolean passed = now < w.fullUntil[cell(call)] || turnsAway(w)
-          || !second && (w.benched && !commonCause || call.tried.contains(w));
+      boolean passed =
+          now < w.fullUntil[cell(call)]
+              || turnsAway(w)
+              || !second && (w.benched && !commonCause || call.tried.contains(w));
       if (!passed && permitted(call, w) && !outlasts(call, w) && !storeBusy(call, w)) {
         field[n++] = w;
         inOrder[rank(call.function, w)] = w;
       }
     }
-    for (int i = 0, order = 0; i < ready.length; i++) { // the home order among those that can be drawn
+    for (int i = 0, order = 0;
+        i < ready.length;
+        i++) { // the home order among those that can be drawn
       if (inOrder[i] != null) {
         inOrder[i].order = order++;
         inOrder[i] = null;
@@ -427,7 +464,9 @@
     x[WARM] = belief * clamp(f.lanes - busyLanes, 0, 1);
     x[LOAD] = Math.min(1, (1 - belief) * loadWait(call, w) / Math.min(left, call.kind.aim()));
     x[OWN] = clamp((w.out.size() / w.size - meanOwn) / (meanOwn + 1), -1, 1);
-    x[PACE] = clamp(StrictMath.log(Math.max(w.pace, w.lag) / Math.max(0.1, meanPace)) / PACE_SCALE, -1, 1);
+    x[PACE] =
+        clamp(
+            StrictMath.log(Math.max(w.pace, w.lag) / Math.max(0.1, meanPace)) / PACE_SCALE, -1, 1);
     x[CROWD] = clamp((busyLanes + 1 - f.lanes) / f.lanes, 0, 1);
     x[HOME] = rank < homes ? 1 : Math.max(-1, -0.25 * (rank - homes));
     x[HALL] = w.zone == settings.zone() ? 1 : 0;
@@ -435,12 +474,16 @@
     x[DOUBT] = clamp(w.bad, 0, 1);
   }
 
-  /** Place in the home order, the same at every front end: a hash of function and worker, weighed by size. */
+  /**
+   * Place in the home order, the same at every front end: a hash of function and worker, weighed by
+   * size.
+   */
   private int rank(Function f, Worker w) {
     if (f.rankVersion != listVersion) {
       f.rankVersion = listVersion;
-      f.rank = Maths.rank(ready.length,
-          i -> -StrictMath.log(fraction(mix(f.id, ready[i].id))) / ready[i].size);
+      f.rank =
+          Maths.rank(
+              ready.length, i -> -StrictMath.log(fraction(mix(f.id, ready[i].id))) / ready[i].size);
     }
     return f.rank[w.place];
   }
@@ -451,28 +494,37 @@
   }
 
   /**
-   * Calls of a function a second over all front ends: its part of the mix, times the calls that all take.
-   * Both are shrunk, as one call would else count for hundreds of siblings: the part towards functions not
-   * seen yet, the calls towards the tenants' quotas. It lags where the mix turns.
+   * Calls of a function a second over all front ends: its part of the mix, times the calls that all
+   * take. Both are shrunk, as one call would else count for hundreds of siblings: the part towards
+   * functions not seen yet, the calls towards the tenants' quotas. It lags where the mix turns.
    */
   private double demand(Function f) {
     double calls = recent(f);
     return Math.max(calls - 0.5, calls / 2) / (taken + heardOf + MIX_PRIOR) * fleetRate;
   }
 
-  /** How many homes the demand for a function fills; a fraction is rounded by this front end's phase. */
+  /**
+   * How many homes the demand for a function fills; a fraction is rounded by this front end's
+   * phase.
+   */
   private int homes(Function f) {
     double inFlight = demand(f) * usual(f, f.callClass) / SECOND;
-    double most = Math.max(1, HOME_PART * fleetRate * meanWork / SECOND / Math.max(1, ready.length));
-    return (int) clamp(inFlight / Math.min(HOME_FILL * f.lanes, most) + phase, 1, Math.max(1, ready.length));
+    double most =
+        Math.max(1, HOME_PART * fleetRate * meanWork / SECOND / Math.max(1, ready.length));
+    return (int)
+        clamp(inFlight / Math.min(HOME_FILL * f.lanes, most) + phase, 1, Math.max(1, ready.length));
   }
 
-  /** Belief that a copy stands loaded: sure while idle ones stay, then what peers' calls make likely. */
+  /**
+   * Belief that a copy stands loaded: sure while idle ones stay, then what peers' calls make
+   * likely.
+   */
   private double belief(Function f, Worker w) {
     Copy copy = w.copies.get(f.id);
     int homes = homes(f);
     double others = siblings > 1 ? demand(f) : 0;
-    double peers = rank(f, w) >= homes ? 0 : RUMOUR * (1 - StrictMath.exp(-others * keep() / SECOND / homes));
+    double peers =
+        rank(f, w) >= homes ? 0 : RUMOUR * (1 - StrictMath.exp(-others * keep() / SECOND / homes));
     if (copy == null) {
       return peers;
     }
@@ -488,13 +540,16 @@
     return settings.loads().keep() > 0 ? settings.loads().keep() : KEEP;
   }
 
-  /** Calls of the function at the worker: own ones, and what peers are seen or likely to have there. */
+  /**
+   * Calls of the function at the worker: own ones, and what peers are seen or likely to have there.
+   */
   private double busyLanes(Function f, Worker w) {
     Copy copy = w.copies.get(f.id);
     double own = copy == null ? 0 : copy.inFlight;
     int homes = homes(f);
     double part = 1 - 1.0 / siblings;
-    double peers = rank(f, w) < homes ? part * demand(f) * usual(f, f.callClass) / SECOND / homes : 0;
+    double peers =
+        rank(f, w) < homes ? part * demand(f) * usual(f, f.callClass) / SECOND / homes : 0;
     double fresh = copy == null ? 0 : StrictMath.exp(-(now - copy.crowdAt) / (double) SECOND);
     return own + peers + (fresh == 0 ? 0 : fresh * (copy.others - peers));
   }
@@ -507,9 +562,13 @@
     return copy != null && copy.readyAt > now ? Math.max(whole / 10, copy.readyAt - now) : whole;
   }
 
-  /** The draw passes over a worker whose load would outlast its time left; a rumour of a copy is no proof. */
+  /**
+   * The draw passes over a worker whose load would outlast its time left; a rumour of a copy is no
+   * proof.
+   */
   private boolean outlasts(Open call, Worker w) {
-    return belief(call.function, w) <= RUMOUR && loadWait(call, w) + unit(call) >= call.deadline - now;
+    return belief(call.function, w) <= RUMOUR
+        && loadWait(call, w) + unit(call) >= call.deadline - now;
   }
 
   private boolean beginsLoad(Open call, Worker w) {
@@ -518,9 +577,9 @@
   }
 
   /**
-   * Few own loads at once: all workers share the store, and it turns fetches away, or stops, when crowded.
-   * The limit halves when loads fail or slow down and grows with each that is in time. Loads under way may be
-   * joined. It hurts when loads fail at one worker alone.
+   * Few own loads at once: all workers share the store, and it turns fetches away, or stops, when
+   * crowded. The limit halves when loads fail or slow down and grows with each that is in time.
+   * Loads under way may be joined. It hurts when loads fail at one worker alone.
    */
   private boolean storeBusy(Open call, Worker w) {
     return loadsOut >= Math.min(loadLimit, mostLoads()) && beginsLoad(call, w);
@@ -555,7 +614,10 @@
 
   // ---------------------------------------------------------------- sends and their gate
 
-  /** The one gate of every send: attempt limits, and rules 2 (effects), 3 (drains) and 4 (cold workers). */
+  /**
+   * The one gate of every send: attempt limits, and rules 2 (effects), 3 (drains) and 4 (cold
+   * workers).
+   */
   private boolean permitted(Open call, Worker w) {
     if (call.sent >= settings.limits().maxAttempts() || now >= call.deadline || call.streaming) {
       return false;
@@ -587,17 +649,20 @@
   }
 
   /**
-   * Rule 4. A cold worker may get this front end's own share of what a warm one bears, times the multiple and
-   * the share that it can do by now; every front end keeping to its share, all of them keep the rule unasked.
-   * While none is warm, what the last ones bore holds.
+   * Rule 4. A cold worker may get this front end's own share of what a warm one bears, times the
+   * multiple and the share that it can do by now; every front end keeping to its share, all of them
+   * keep the rule unasked. While none is warm, what the last ones bore holds.
    */
   private void fillColdBudget(Worker w) {
     Rules r = settings.rules();
-    double rate = COLD_MARGIN * r.fallMultiple() * r.grown(now, w.cameUp) * served / RATE_SPAN * w.size;
+    double rate =
+        COLD_MARGIN * r.fallMultiple() * r.grown(now, w.cameUp) * served / RATE_SPAN * w.size;
     double most = Math.max(1, rate * r.fall() / SECOND / 4);
     w.coldSince = w.coldBudget < 1 ? now : w.coldSince;
-    boolean lapsed = most == 1 && now - w.coldSince > r.fall(); // else many front ends save one up each
-    w.coldBudget = lapsed ? random.nextDouble() : Math.min(most, w.coldBudget + rate * TICK / SECOND);
+    boolean lapsed =
+        most == 1 && now - w.coldSince > r.fall(); // else many front ends save one up each
+    w.coldBudget =
+        lapsed ? random.nextDouble() : Math.min(most, w.coldBudget + rate * TICK / SECOND);
   }
 
   private void send(Open call, Worker w) {
@@ -624,15 +689,23 @@
     call.outstanding++;
     long left = call.deadline - now;
     boolean again = call.kind.effect() == Effect.SAFE && !settings.limits().cancel();
-    act(new Send(call.event.id(), w.id, again ? Math.min(left, (long) (OVERDUE * a.expected) + TICK) : left));
+    act(
+        new Send(
+            call.event.id(),
+            w.id,
+            again ? Math.min(left, (long) (OVERDUE * a.expected) + TICK) : left));
   }
 
-  /** A call whose attempts are all over, unanswered: sent again within its class and the budget, or ended. */
+  /**
+   * A call whose attempts are all over, unanswered: sent again within its class and the budget, or
+   * ended.
+   */
   private void again(Open call, Code last) {
     boolean allowed = !call.mayHaveRun || call.kind.effect() != Effect.UNSAFE;
     // What no worker knows may be nonsense: it is tried once more, and leaves others their budget.
     boolean known = last != Code.ERROR || call.function.servedAt > 0 || call.sent < 2;
-    boolean time = known && call.deadline - now > unit(call) && call.sent < settings.limits().maxAttempts();
+    boolean time =
+        known && call.deadline - now > unit(call) && call.sent < settings.limits().maxAttempts();
     if (allowed && time && retries >= 1) {
       // One that never arrived has cost the workers nothing.
       retries -= last == Code.CONNECT_FAILED ? 0.25 : 1;
@@ -642,7 +715,10 @@
     }
   }
 
-  /** Ends a call unserved: refused where rule 2 allows it, as the client may then try again; else failed. */
+  /**
+   * Ends a call unserved: refused where rule 2 allows it, as the client may then try again; else
+   * failed.
+   */
   private void finish(Open call) {
     boolean proved = !call.mayHaveRun && call.outstanding == 0;
     boolean dropped = call.kind.effect() == Effect.KEYED && call.kind.group() == Group.ALL;
@@ -671,28 +747,35 @@
   // ---------------------------------------------------------------- orders to load
 
   /**
-   * The one gate of orders to load: rules 3 (drains) and 5 (rationed loads). An order counts as it arrives,
-   * and may wait for a connection first: what was given that much before the window may fall into it as well.
-   * What is given to a worker that is silent may arrive seconds later, once it is heard again.
+   * The one gate of orders to load: rules 3 (drains) and 5 (rationed loads). An order counts as it
+   * arrives, and may wait for a connection first: what was given that much before the window may
+   * fall into it as well. What is given to a worker that is silent may arrive seconds later, once
+   * it is heard again.
    */
   private boolean mayOrder(Worker w) {
     Loads l = settings.loads();
     prune(callTimes, now - l.window());
     prune(orderTimes, now - l.window() - settings.limits().connectTimeout() - TICK);
-    return l.mayOrder() && w.state == State.READY && !w.benched && w.lostAt <= w.wellAt && !turnsAway(w)
+    return l.mayOrder()
+        && w.state == State.READY
+        && !w.benched
+        && w.lostAt <= w.wellAt
+        && !turnsAway(w)
         && (l.window() <= 0 || orderTimes.size() + 1 <= l.free() + l.perCall() * callTimes.size());
   }
 
   /**
-   * Loads a further home before it is needed; the home itself where copies come only by orders, or where the
-   * load would outlast the calls of a function in use: they may not begin it, so that it never would stand.
+   * Loads a further home before it is needed; the home itself where copies come only by orders, or
+   * where the load would outlast the calls of a function in use: they may not begin it, so that it
+   * never would stand.
    */
   private void preload(Function f, Open call) {
     prune(callTimes, now - Math.max(SECOND, settings.loads().window()));
     int homes = homes(f);
     boolean inUse = siblings * recent(f) >= ORDER_CALLS; // one of many front ends sees few
     boolean unserved = shed == 0 && inUse && now - f.servedAt > keep();
-    // All front ends want the same further homes: most orders would find a copy that another had loaded.
+    // All front ends want the same further homes: most orders would find a copy that another had
+    // loaded.
     boolean turn = homes > 1 && random.nextDouble() * divisor < ORDERS_EACH;
     for (int i = 0; i < ready.length && settings.loads().mayOrder(); i++) {
       Worker w = ready[i];
@@ -716,11 +799,11 @@
   // ---------------------------------------------------------------- work that renews a permission
 
   /**
-   * While the source of the list is out of reach a worker may be sent work only as long as it goes on taking
-   * some: it gets an order for a copy that it likely holds, within the ration, and else the next call that
-   * fits. It costs the workers next to nothing; where no copy is likely there, few of all front ends begin a
-   * load for it. The orders are spread over the span of the ration: all at once they would leave none for
-   * those whose permission ends next.
+   * While the source of the list is out of reach a worker may be sent work only as long as it goes
+   * on taking some: it gets an order for a copy that it likely holds, within the ration, and else
+   * the next call that fits. It costs the workers next to nothing; where no copy is likely there,
+   * few of all front ends begin a load for it. The orders are spread over the span of the ration:
+   * all at once they would leave none for those whose permission ends next.
    */
   private void onExpiring(Expiring e) {
     List<Worker> urgent = new ArrayList<>();
@@ -748,12 +831,13 @@
   }
 
   /**
-   * The function in most use here of which a copy likely stands loaded at a worker, else the one in most use
-   * of all, if a load for it is due: its calls can renew the permission from then on. Null for none.
+   * The function in most use here of which a copy likely stands loaded at a worker, else the one in
+   * most use of all, if a load for it is due: its calls can renew the permission from then on. Null
+   * for none.
    */
   private Function likely(Worker w) {
-    boolean mayLoad = loadsOut < Math.min(loadLimit, mostLoads())
-        && random.nextDouble() * divisor < ORDERS_EACH;
+    boolean mayLoad =
+        loadsOut < Math.min(loadLimit, mostLoads()) && random.nextDouble() * divisor < ORDERS_EACH;
     Function best = null;
     boolean found = false;
     double most = 0;
@@ -770,17 +854,18 @@
   }
 
   /**
-   * A worker whose permission ends soon and that has a free lane of the call's function loaded; any that
-   * fits, where orders are not allowed.
+   * A worker whose permission ends soon and that has a free lane of the call's function loaded; any
+   * that fits, where orders are not allowed.
    */
   private Worker renewal(Open call) {
     for (Worker w : expiring) {
-      boolean passed = w.benched || now < w.fullUntil[cell(call)] || turnsAway(w)
-          || call.tried.contains(w);
+      boolean passed =
+          w.benched || now < w.fullUntil[cell(call)] || turnsAway(w) || call.tried.contains(w);
       if (passed || !permitted(call, w) || outlasts(call, w) || storeBusy(call, w)) {
         continue;
       }
-      boolean loaded = belief(call.function, w) >= 0.5 && busyLanes(call.function, w) < call.function.lanes;
+      boolean loaded =
+          belief(call.function, w) >= 0.5 && busyLanes(call.function, w) < call.function.lanes;
       if (loaded || !settings.loads().mayOrder() && call.kind.effect() == Effect.SAFE) {
         return w;
       }
@@ -798,18 +883,21 @@
       tookOn(w, a);
       hallLost[hall(w)] = false;
       meanWork += SLOW_MEAN * (a.unit - meanWork);
-      boolean loaded = e.note() == Note.WARM
-          || e.note() == Note.NONE && !a.cold && e.took() < a.expected + a.load / 2;
+      boolean loaded =
+          e.note() == Note.WARM
+              || e.note() == Note.NONE && !a.cold && e.took() < a.expected + a.load / 2;
       if (loaded) {
         w.pace += FAST_MEAN * (clamp(e.took() / a.unit, 0, 6) - w.pace);
         f.work.add(e.took(), SLOW_MEAN);
         classWork[a.call.event.callClass()].add(e.took(), SLOW_MEAN);
         if (a.call.event.hint() > 0) {
-          classHint[a.call.event.callClass()].add(e.took() / (double) a.call.event.hint(), SLOW_MEAN);
+          classHint[a.call.event.callClass()].add(
+              e.took() / (double) a.call.event.hint(), SLOW_MEAN);
         }
       } else if (e.note() == Note.BEGAN_LOAD || e.note() == Note.NONE && a.cold) {
         double load = Math.max(0, e.took() - a.unit * w.pace);
-        classLoad[a.call.event.callClass()] += FAST_MEAN * (load - classLoad[a.call.event.callClass()]);
+        classLoad[a.call.event.callClass()] +=
+            FAST_MEAN * (load - classLoad[a.call.event.callClass()]);
         if (f.loadTime > 0) {
           storeFactor += FAST_MEAN * (clamp(load / f.loadTime, 0.5, 4) - storeFactor);
         }
@@ -838,14 +926,17 @@
       a.copy.crowdAt = now;
     }
     boolean dead = e.code() == Code.CONNECT_FAILED || e.code() == Code.RESET;
-    // An error for a function that nobody has served yet tells of the function, or of a client's nonsense.
+    // An error for a function that nobody has served yet tells of the function, or of a client's
+    // nonsense.
     boolean error = e.code() == Code.ERROR && e.note() != Note.LOAD_FAILED && f.servedAt > 0;
     boolean bad = dead || e.code() == Code.TIMEOUT || error;
     f.servedAt = e.code() == Code.OK ? now : f.servedAt;
     if (bad) {
       // What one lost connection takes along counts once.
-      w.bad += a.missed > 0 && !dead || dead && now - w.diedAt < TICK ? 0
-          : (e.code() == Code.CONNECT_FAILED ? DEAD_STEP : BAD_STEP) * (1 - w.bad);
+      w.bad +=
+          a.missed > 0 && !dead || dead && now - w.diedAt < TICK
+              ? 0
+              : (e.code() == Code.CONNECT_FAILED ? DEAD_STEP : BAD_STEP) * (1 - w.bad);
       w.diedAt = dead ? now : w.diedAt;
       w.lostAt = error ? w.lostAt : now;
       if (w.benched) {
@@ -859,12 +950,13 @@
   }
 
   /**
-   * Benches workers that do worse than their better peers, by outcomes or by silence, whatever the cause;
-   * when nearly all look bad the cause is a common one, and the pool is kept whole.
+   * Benches workers that do worse than their better peers, by outcomes or by silence, whatever the
+   * cause; when nearly all look bad the cause is a common one, and the pool is kept whole.
    */
   private void watchHealth() {
     double[] bads = new double[ready.length];
-    double paceSpan = clamp(PACE_CALLS * ready.length * mixSpan / Math.max(1, taken), RATE_SPAN, MIX_SPAN);
+    double paceSpan =
+        clamp(PACE_CALLS * ready.length * mixSpan / Math.max(1, taken), RATE_SPAN, MIX_SPAN);
     List<Attempt> late = new ArrayList<>();
     loadsOut = 0;
     warm = 0;
@@ -902,8 +994,9 @@
   }
 
   /**
-   * A hall whose workers fail one after another is benched whole until one serves or comes up anew, since a
-   * front end with few calls learns of each worker alone too late. It hurts where just those called fail.
+   * A hall whose workers fail one after another is benched whole until one serves or comes up anew,
+   * since a front end with few calls learns of each worker alone too late. It hurts where just
+   * those called fail.
    */
   private void watchHalls() {
     int[] failing = new int[hallLost.length];
@@ -916,22 +1009,33 @@
     }
     for (int z = 0; z < hallLost.length; z++) {
       boolean fails = failing[z] >= HALL_FAILS && failing[z] > HALL_FAILS * well[z];
-      if (!hallLost[z] && fails && all[z] < ready.length) { // the only hall there is can't be done without
+      if (!hallLost[z]
+          && fails
+          && all[z] < ready.length) { // the only hall there is can't be done without
         hallLost[z] = true;
         hallTrialAt[z] = now + TRIAL_WAIT;
-        log("hall " + z + " benched: " + failing[z] + " of its workers fail, " + well[z] + " serve");
+        log(
+            "hall "
+                + z
+                + " benched: "
+                + failing[z]
+                + " of its workers fail, "
+                + well[z]
+                + " serve");
       }
     }
   }
 
   /**
-   * A call whose only attempt is late gets a second copy where a loaded copy surely stands, if its class
-   * allows that, so that a slow or silent worker or a lost answer does not cost it its aim. It hurts where
-   * the work itself is long, so it comes out of the budget for further attempts, and not under pressure.
+   * A call whose only attempt is late gets a second copy where a loaded copy surely stands, if its
+   * class allows that, so that a slow or silent worker or a lost answer does not cost it its aim.
+   * It hurts where the work itself is long, so it comes out of the budget for further attempts, and
+   * not under pressure.
    */
   private void hedge(Attempt a) {
     Open call = a.call;
-    boolean allowed = settings.limits().secondCopy() && call.kind.effect() != Effect.UNSAFE && shed == 0;
+    boolean allowed =
+        settings.limits().secondCopy() && call.kind.effect() != Effect.UNSAFE && shed == 0;
     if (!allowed || call.closed || call.outstanding != 1 || retries < 1) {
       return;
     }
@@ -954,24 +1058,27 @@
   }
 
   /**
-   * A full worker answers at once and has few calls of ours, so it would attract more of them. It is passed
-   * over for the tenant and class that it turned away, for a wait that grows while it goes on; covers any
-   * quick rejection, also of one tenant alone. It hurts where one function alone is full.
+   * A full worker answers at once and has few calls of ours, so it would attract more of them. It
+   * is passed over for the tenant and class that it turned away, for a wait that grows while it
+   * goes on; covers any quick rejection, also of one tenant alone. It hurts where one function
+   * alone is full.
    */
   private void turnedAwayBy(Worker w, Attempt a) {
     int cell = cell(a.call);
     if (now >= w.fullUntil[cell]) {
-      w.fullWait[cell] = Math.min(FULL_WAIT_MOST, Math.max(2 * w.fullWait[cell], (long) (a.unit / 4)));
+      w.fullWait[cell] =
+          Math.min(FULL_WAIT_MOST, Math.max(2 * w.fullWait[cell], (long) (a.unit / 4)));
       w.fullUntil[cell] = now + w.fullWait[cell];
     }
     press(FULL_PRESSURE);
   }
 
   /**
-   * A worker that takes on nothing at all, and holds no call of the functions asked for either, may drain
-   * though the list does not say so: one that is full is at work. It is passed over whole, for a wait that
-   * doubles while the next call after it is turned away too. It hurts where one without memory to be had
-   * looks the same. Where answers don't tell what a worker holds, nothing tells the two apart.
+   * A worker that takes on nothing at all, and holds no call of the functions asked for either, may
+   * drain though the list does not say so: one that is full is at work. It is passed over whole,
+   * for a wait that doubles while the next call after it is turned away too. It hurts where one
+   * without memory to be had looks the same. Where answers don't tell what a worker holds, nothing
+   * tells the two apart.
    */
   private void watchForDrain(Worker w, Attempt a, int crowd) {
     if (!settings.loads().crowdCounts() || crowd != 0) {
@@ -992,7 +1099,10 @@
     return now < w.awayUntil && !rush;
   }
 
-  /** A call was taken on: one sent behind all those that were turned away shows that work is welcome. */
+  /**
+   * A call was taken on: one sent behind all those that were turned away shows that work is
+   * welcome.
+   */
   private void tookOn(Worker w, Attempt a) {
     if (a.sentAt > w.lastAwaySentAt) {
       w.turnedAway = 0;
@@ -1002,16 +1112,18 @@
   }
 
   /**
-   * An attempt that is out for much longer than expected shows a sick worker before any time-out; it counts
-   * as a bad outcome, and again each time that as much has passed. Covers hangs and lost answers. The ages of
-   * those out also show a slow worker before its answers do. It hurts where one call alone is very long.
+   * An attempt that is out for much longer than expected shows a sick worker before any time-out;
+   * it counts as a bad outcome, and again each time that as much has passed. Covers hangs and lost
+   * answers. The ages of those out also show a slow worker before its answers do. It hurts where
+   * one call alone is very long.
    */
   private void watchOut(Worker w, List<Attempt> late) {
     double age = 0;
     double usual = 0;
     for (Attempt a : w.out.values()) {
       double one = Math.max(a.unit, classWork[a.call.event.callClass()].value);
-      double since = now - a.sentAt - (a.cold ? 1.5 : 1) * a.load; // a belief in a copy may be wrong
+      double since =
+          now - a.sentAt - (a.cold ? 1.5 : 1) * a.load; // a belief in a copy may be wrong
       usual += one;
       loadsOut += a.begins && now - a.sentAt < OVERDUE * a.load ? 1 : 0; // not one that hangs
       age += Math.max(0, since + (a.cold ? 0 : a.load));
@@ -1020,7 +1132,8 @@
         w.lostAt = now;
         w.bad += BAD_STEP * (1 - w.bad);
       }
-      if (now - a.sentAt > Math.max(OVERDUE * one * Math.max(1, w.pace), HEDGE_AIM * a.call.kind.aim())) {
+      if (now - a.sentAt
+          > Math.max(OVERDUE * one * Math.max(1, w.pace), HEDGE_AIM * a.call.kind.aim())) {
         late.add(a);
       }
     }
@@ -1046,7 +1159,10 @@
 
   // ---------------------------------------------------------------- admission
 
-  /** Under pressure the calls of least worth for their work are refused at once, over-share tenants first. */
+  /**
+   * Under pressure the calls of least worth for their work are refused at once, over-share tenants
+   * first.
+   */
   private boolean turnedAway(Open call) {
     meanAim += SLOW_MEAN * (call.kind.aim() - meanAim);
     double value = worthOfWork(call);
@@ -1077,13 +1193,16 @@
   }
 
   /**
-   * Holds the mean time in flight over the aim to a bound, by the answers of the last second and, sooner, by
-   * Little's law: calls in flight over the rate of answers. Both are shrunk towards a few calls in good time.
+   * Holds the mean time in flight over the aim to a bound, by the answers of the last second and,
+   * sooner, by Little's law: calls in flight over the rate of answers. Both are shrunk towards a
+   * few calls in good time.
    */
   private void steerShedding() {
-    double out = PRESSURE_CALLS * PRESSURE_USUAL * meanAim / SECOND; // an idle front end is at the usual
+    double out =
+        PRESSURE_CALLS * PRESSURE_USUAL * meanAim / SECOND; // an idle front end is at the usual
     for (Worker w : ready) {
-      for (Attempt a : w.out.values()) { // what is stuck on a sick worker, or loads, is no sign of overload
+      for (Attempt a :
+          w.out.values()) { // what is stuck on a sick worker, or loads, is no sign of overload
         out += w.benched || a.call.closed || a.cold && now - a.sentAt < OVERDUE * a.load ? 0 : 1;
       }
     }
@@ -1093,7 +1212,9 @@
     if (shed == 0 && error > 0) {
       log("shedding: answers take " + Math.round(100 * (error + PRESSURE_AIM)) + "% of their aim");
     }
-    shed = clamp(shed + (error > 0 ? Math.min(SHED_RISE, SHED_GAIN * error) : -SHED_FALL), 0, SHED_MOST);
+    shed =
+        clamp(
+            shed + (error > 0 ? Math.min(SHED_RISE, SHED_GAIN * error) : -SHED_FALL), 0, SHED_MOST);
     pressure *= PRESSURE_FADE;
     pressed *= PRESSURE_FADE;
   }
@@ -1113,7 +1234,10 @@
     }
   }
 
-  /** One clipped step; the ratio of new to old chance is taken to first order in the change of weights. */
+  /**
+   * One clipped step; the ratio of new to old chance is taken to first order in the change of
+   * weights.
+   */
   private void step() {
     double[] old = weights.clone();
     for (Attempt a : batch) {
@@ -1126,7 +1250,8 @@
     }
     for (int epoch = 0; epoch < EPOCHS; epoch++) {
       for (Attempt a : batch) {
-        double ratio = StrictMath.exp(clamp(dot(weights, a.gradient) - dot(old, a.gradient), -5, 5));
+        double ratio =
+            StrictMath.exp(clamp(dot(weights, a.gradient) - dot(old, a.gradient), -5, 5));
         boolean clipped = a.advantage > 0 ? ratio > 1 + CLIP : ratio < 1 - CLIP;
         double size = STEP / BATCH * clamp(a.advantage / (payoffSpread + 0.01), -3, 3) * ratio;
         for (int k = 0; k < FEATURES && !clipped; k++) {
@@ -1136,7 +1261,8 @@
     }
     for (int k = 0; k < FEATURES; k++) {
       double reach = REACH * Math.abs(START[k]) + REACH;
-      weights[k] = clamp(weights[k] + PULL * (START[k] - weights[k]), START[k] - reach, START[k] + reach);
+      weights[k] =
+          clamp(weights[k] + PULL * (START[k] - weights[k]), START[k] - reach, START[k] + reach);
     }
   }
 
--- a/src/main/java/saddlestall/Maths.java
+++ b/src/main/java/saddlestall/Maths.java
@@ -6,7 +6,7 @@
 
 /** Arithmetic without a decision in it. */
 final class Maths {
-  private Maths() { }
+  private Maths() {}
 
   /** {@code x} within the bounds; the lower one for a value that is not a number. */
   static double clamp(double x, double low, double high) {
@@ -22,7 +22,9 @@
     return sum;
   }
 
-  /** Turns the first {@code n} scores into chances not yet divided by their sum, which it returns. */
+  /**
+   * Turns the first {@code n} scores into chances not yet divided by their sum, which it returns.
+   */
   static double softmax(double[] x, int n) {
     double top = Double.NEGATIVE_INFINITY;
     for (int i = 0; i < n; i++) {
--- a/src/main/java/saddlestall/Memory.java
+++ b/src/main/java/saddlestall/Memory.java
@@ -19,12 +19,17 @@
 import saddlestall.Dispatcher.Member;
 import saddlestall.Dispatcher.State;
 
-/** What one front end remembers: fields, written and read by {@link Choice}, which decides what they mean. */
+/**
+ * What one front end remembers: fields, written and read by {@link Choice}, which decides what they
+ * mean.
+ */
 abstract class Memory {
   /** Halls told apart; further ones share a place. */
   private static final int HALLS = 32;
+
   /** A benched worker or hall is not tried again sooner. */
   static final long TRIAL_WAIT = 1_000_000;
+
   /** Nor so soon after others said that it still does not answer; they say so every 2 s. */
   private static final long TOLD_WAIT = 5_000_000;
 
@@ -33,58 +38,90 @@
   final Map<Integer, Open> open = new LinkedHashMap<>();
   final LinkedHashSet<Open> held = new LinkedHashSet<>();
   Worker[] ready = {};
+
   /** Workers that may not be sent work for long unless they take some, the most urgent first. */
   final LinkedHashSet<Worker> expiring = new LinkedHashSet<>();
+
   /** When an order last renewed one's permission. */
   long renewedAt = Long.MIN_VALUE / 2;
+
   int listVersion;
+
   /** How many front ends there likely are, and by how much what belongs to all is divided here. */
   double siblings;
+
   double divisor;
 
-  /** By class: time in flight of warm calls, the same over the hint, load time where it is not told. */
+  /**
+   * By class: time in flight of warm calls, the same over the hint, load time where it is not told.
+   */
   final Mean[] classWork;
+
   final Mean[] classHint;
   final double[] classLoad;
+
   /** Load time seen over load time told. */
   double storeFactor = 1;
+
   int loadsOut;
   double loadLimit = Double.POSITIVE_INFINITY;
   long loadFailedAt;
 
   /** Own calls of each tenant; calls served by warm workers, for one of size 1; both decaying. */
   final double[] tenantRate;
+
   double served;
+
   /** Sizes of the ready workers that are warm, together. */
   double warm;
-  /** Own calls within the span of the mix (seconds), its age, and the calls of all front ends a second. */
+
+  /**
+   * Own calls within the span of the mix (seconds), its age, and the calls of all front ends a
+   * second.
+   */
   double taken;
-  /** Others' calls that hearsay added to the mix, decaying alike: without them its functions would look in demand. */
+
+  /**
+   * Others' calls that hearsay added to the mix, decaying alike: without them its functions would
+   * look in demand.
+   */
   double heardOf;
+
   double mixSpan;
   long mixAge;
   double fleetRate;
+
   /** Mean time in flight of a warm call. */
   double meanWork;
+
   /** What rounds the fractions of this front end's shares. */
   double phase;
+
   /** Pairs of a tenant and a class. */
   int cells;
+
   long plannedAt;
+
   /** What is left of the budget for further attempts. */
   double retries;
+
   boolean commonCause;
+
   /** Most workers take on nothing. */
   boolean rush;
+
   /** By hall: whether it is lost as a whole, and when one of its workers may be tried again. */
   final boolean[] hallLost = new boolean[HALLS];
+
   final long[] hallTrialAt = new long[HALLS];
   double pressure;
   double pressed;
   double meanAim;
   double shed;
+
   /** Worth of work of the last calls. */
   final double[] values;
+
   int valueCount;
   long lastLog = Long.MIN_VALUE / 2;
   final ArrayDeque<Long> callTimes = new ArrayDeque<>();
@@ -94,13 +131,17 @@
   final double[] critic;
   double payoffSpread;
   final List<Attempt> batch = new ArrayList<>();
+
   /** Rows of features, chances and workers of the draw at hand. */
   double[][] rows = {};
+
   double[] chance = {};
   Worker[] field = {};
   Worker[] inOrder = {};
+
   /** Means over the ready workers, of the draw at hand. */
   double meanOwn;
+
   double meanPace;
   double meanPlan;
 
@@ -143,26 +184,34 @@
     }
   }
 
-  /** What was seen here, as others would be told of it; hearsay is left out, as it is others' to tell. */
+  /**
+   * What was seen here, as others would be told of it; hearsay is left out, as it is others' to
+   * tell.
+   */
   public void recall(long now, Consumer<Known> facts) {
     for (Worker w : workers.values()) {
       if (w.state == State.READY) {
         facts.accept(new KnownWorker(w.id, w.pace, w.bad, 0, 1));
-        w.copies.forEach((function, c) -> {
-          if (c.seenAt > 0 && c.trust == 1) {
-            facts.accept(new KnownCopy(w.id, function, now - c.seenAt, 1));
-          }
-        });
+        w.copies.forEach(
+            (function, c) -> {
+              if (c.seenAt > 0 && c.trust == 1) {
+                facts.accept(new KnownCopy(w.id, function, now - c.seenAt, 1));
+              }
+            });
       }
     }
     for (Function f : functions.values()) {
       if (f.servedAt > 0) {
-        facts.accept(new KnownFunction(f.id, f.callClass, f.lanes, (long) f.loadTime, f.recent, now - f.lastAt, 1));
+        facts.accept(
+            new KnownFunction(
+                f.id, f.callClass, f.lanes, (long) f.loadTime, f.recent, now - f.lastAt, 1));
       }
     }
   }
 
-  /** Takes in hearsay, a prior belief: it holds where nothing was seen here, and until something is. */
+  /**
+   * Takes in hearsay, a prior belief: it holds where nothing was seen here, and until something is.
+   */
   void believe(Known known, long now) {
     if (known instanceof KnownCopy e) {
       Worker w = workers.get(e.worker());
@@ -176,12 +225,15 @@
     } else if (known instanceof KnownWorker e) {
       Worker w = workers.get(e.worker());
       boolean fresh = w != null && w.pace == 1 && w.bad == 0 && w.out.isEmpty();
-      if (w == null || w.state != State.READY || !fresh && now - e.age() <= Math.max(w.wellAt, w.lostAt)) {
+      if (w == null
+          || w.state != State.READY
+          || !fresh && now - e.age() <= Math.max(w.wellAt, w.lostAt)) {
         return; // what was seen here later wins
       }
       boolean back = w.toldBad && e.bad() < 0.5;
       w.toldBad = e.bad() >= 0.5;
-      if (w.benched) { // whether it is back is asked by one for all: here a call tries it once it answers, and not before
+      if (w.benched) { // whether it is back is asked by one for all: here a call tries it once it
+        // answers, and not before
         w.trialAt = back ? now : w.toldBad ? Math.max(w.trialAt, now + TOLD_WAIT) : w.trialAt;
         hallTrialAt[hall(w)] = back ? now : hallTrialAt[hall(w)];
       } else if (fresh || w.toldBad) {
@@ -189,9 +241,14 @@
         w.bad = Math.max(w.bad, e.weight() * clamp(e.bad(), 0, 1));
       }
       if (fresh || e.pace() > 1) {
-        w.pace = fresh || e.pace() > w.pace ? w.pace + e.weight() * (clamp(e.pace(), 0.2, 6) - w.pace) : w.pace;
+        w.pace =
+            fresh || e.pace() > w.pace
+                ? w.pace + e.weight() * (clamp(e.pace(), 0.2, 6) - w.pace)
+                : w.pace;
       }
-    } else if (known instanceof KnownFunction e && e.callClass() >= 0 && e.callClass() < classWork.length) {
+    } else if (known instanceof KnownFunction e
+        && e.callClass() >= 0
+        && e.callClass() < classWork.length) {
       Function f = functions.computeIfAbsent(e.function(), Function::new);
       if (f.lastAt == 0) {
         f.callClass = e.callClass();
@@ -232,14 +289,19 @@
   static final class Copy {
     /** Last proof that it stood loaded; 0: none. */
     long seenAt;
+
     /** What that proof is worth: 1 for an own one, less for hearsay. */
     double trust = 1;
+
     /** When a load under way should be over; 0: none known. */
     long readyAt;
+
     /** Own calls there. */
     int inFlight;
+
     /** Peers' calls there by the last crowd counts, and when they came. */
     double others;
+
     long crowdAt;
   }
 
@@ -250,13 +312,18 @@
     double lanes = 1;
     double loadTime;
     int callClass;
+
     /** When a call of it was last served; 0: never. */
     long servedAt;
+
     /** Own calls, decaying, as of {@code lastAt}. */
     double recent;
+
     long lastAt;
+
     /** Each ready worker's place in the home order, for the list of {@code rankVersion}. */
     int[] rank = {};
+
     int rankVersion = -1;
 
     Function(long id) {
@@ -272,8 +339,10 @@
     State state = State.GONE;
     boolean listed;
     int place;
+
     /** Place in the home order of the draw at hand. */
     int order;
+
     int zone;
     int cell;
     double size = 1;
@@ -281,28 +350,45 @@
     double pace = 1;
     double lag;
     double bad;
+
     /** When a connection to it was last lost or refused. */
     long diedAt = Long.MIN_VALUE / 2;
+
     /** When it last served, and when it last was silent or unreachable. */
     long wellAt;
+
     long lostAt;
     double plan;
     boolean benched;
-    /** By tenant and class, turned a call away: passed over until then, and how long the wait was. */
+
+    /**
+     * By tenant and class, turned a call away: passed over until then, and how long the wait was.
+     */
     final long[] fullUntil;
+
     final long[] fullWait;
-    /** Calls turned away one after the other, whoever's, the first one's end, and when the last one was sent. */
+
+    /**
+     * Calls turned away one after the other, whoever's, the first one's end, and when the last one
+     * was sent.
+     */
     int turnedAway;
+
     long firstAwayAt;
     long lastAwaySentAt;
+
     /** Passed over for all calls until then, and how long the wait was. */
     long awayUntil;
+
     long awayWait;
     long trialAt;
+
     /** Others say that it does not answer. */
     boolean toldBad;
+
     long trialWait;
     double coldBudget;
+
     /** Since when there is enough of it for a call. */
     long coldSince;
 
@@ -333,15 +419,20 @@
     int outstanding;
     boolean streaming;
     boolean closed;
+
     /** Whether a second copy may be out beside the first. */
     boolean hedged;
+
     /** Whether an attempt may have run, and the first such attempt's time, hall and cell. */
     boolean mayHaveRun;
+
     long ranSince;
     int ranZone;
     int ranCell;
+
     /** Of the last draw: the chosen features less the expected ones, and the mean over workers. */
     double[] gradient;
+
     double[] mean;
 
     Open(Call event, CallClass kind, Function function, long now) {
@@ -372,10 +463,13 @@
     final int ownBefore;
     boolean cold;
     boolean begins;
+
     /** Times that it should have been answered, at the worker's pace, and was not. */
     int missed;
+
     /** Expected time in flight: warm at the usual pace; of a load; in all. */
     double unit;
+
     double load;
     double expected;
     double[] gradient;
--- a/src/main/java/saddlestall/benchlink/Loop.java
+++ b/src/main/java/saddlestall/benchlink/Loop.java
@@ -12,11 +12,14 @@
 import saddlestall.Dispatcher.Action;
 import saddlestall.Dispatcher.Event;
 
-/** Hosts the instances: hands each batch's events to them in order and answers with their actions. */
+/**
+ * Hosts the instances: hands each batch's events to them in order and answers with their actions.
+ */
 final class Loop implements Wire.Sink {
   private final Wire wire = new Wire();
   private final Wire.Reply reply = new Wire.Reply();
-  private final Map<Integer, Dispatcher> instances = new HashMap<>(); // looked up only, never iterated
+  private final Map<Integer, Dispatcher> instances =
+      new HashMap<>(); // looked up only, never iterated
   private final Consumer<Action> actions = this::act;
   private long now;
   private int selected;
@@ -25,7 +28,7 @@
 
   /** Runs until the input ends. */
   void run(InputStream in, OutputStream out) throws IOException {
-    for (ByteBuffer frame; (frame = Wire.readFrame(in)) != null;) {
+    for (ByteBuffer frame; (frame = Wire.readFrame(in)) != null; ) {
       now = Wire.clock(frame);
       named = false;
       try {
--- a/src/main/java/saddlestall/benchlink/SettingsJson.java
+++ b/src/main/java/saddlestall/benchlink/SettingsJson.java
@@ -22,7 +22,7 @@
 
 /** Reads an instance's settings from the JSON of its start message. Unknown keys are skipped. */
 public final class SettingsJson {
-  private SettingsJson() { }
+  private SettingsJson() {}
 
   public static Settings read(String json) {
     JsonObject o = JsonParser.parseString(json).getAsJsonObject();
@@ -32,79 +32,126 @@
     }
     List<Tenant> tenants = new ArrayList<>();
     for (JsonElement e : array(o, "Tenants")) {
-      tenants.add(new Tenant(number(e.getAsJsonObject(), "Fraction"),
-          number(e.getAsJsonObject(), "QuotaPerS")));
+      tenants.add(
+          new Tenant(
+              number(e.getAsJsonObject(), "Fraction"), number(e.getAsJsonObject(), "QuotaPerS")));
     }
     List<Double> memory = new ArrayList<>();
     for (JsonElement e : array(object(o, "FamilyInfo"), "MachineMb")) {
       memory.add(e.getAsDouble());
     }
-    return new Settings((int) number(o, "Index"), (int) number(o, "Siblings"), (int) number(o, "Zone"),
-        List.copyOf(classes), List.copyOf(tenants), number(o, "OverShareWorth"),
-        text(o, "WorthBy").equals("work"), text(o, "MembershipMode").equals("subscribe"),
-        weightKind(text(o, "WeightKind")), List.copyOf(memory), limits(object(o, "Limits")),
-        rules(object(o, "Rules")), loads(object(o, "FamilyInfo")), report(object(o, "Report")),
+    return new Settings(
+        (int) number(o, "Index"),
+        (int) number(o, "Siblings"),
+        (int) number(o, "Zone"),
+        List.copyOf(classes),
+        List.copyOf(tenants),
+        number(o, "OverShareWorth"),
+        text(o, "WorthBy").equals("work"),
+        text(o, "MembershipMode").equals("subscribe"),
+        weightKind(text(o, "WeightKind")),
+        List.copyOf(memory),
+        limits(object(o, "Limits")),
+        rules(object(o, "Rules")),
+        loads(object(o, "FamilyInfo")),
+        report(object(o, "Report")),
         costs(object(o, "Costs")));
   }
 
   private static CallClass callClass(JsonObject c) {
-    Effect effect = switch (text(c, "Idempotency")) {
-      case "idempotent" -> Effect.SAFE;
-      case "deduplicated" -> Effect.KEYED;
-      default -> Effect.UNSAFE; // an unknown word gets the strictest reading
-    };
-    Group group = switch (text(c, "Group")) {
-      case "all" -> Group.ALL;
-      case "zone" -> Group.ZONE;
-      default -> Group.CELL;
-    };
-    return new CallClass(micros(c, "Aim"), number(c, "AimStretch"), micros(c, "GiveUp"), effect, group,
-        micros(c, "DedupWindow"), number(c, "Worth"), number(c, "LateWorth"), flag(c, "Stream"));
+    Effect effect =
+        switch (text(c, "Idempotency")) {
+          case "idempotent" -> Effect.SAFE;
+          case "deduplicated" -> Effect.KEYED;
+          default -> Effect.UNSAFE; // an unknown word gets the strictest reading
+        };
+    Group group =
+        switch (text(c, "Group")) {
+          case "all" -> Group.ALL;
+          case "zone" -> Group.ZONE;
+          default -> Group.CELL;
+        };
+    return new CallClass(
+        micros(c, "Aim"),
+        number(c, "AimStretch"),
+        micros(c, "GiveUp"),
+        effect,
+        group,
+        micros(c, "DedupWindow"),
+        number(c, "Worth"),
+        number(c, "LateWorth"),
+        flag(c, "Stream"));
   }
 
   private static Limits limits(JsonObject l) {
-    return new Limits(flag(l, "MayCancel"), flag(l, "MayDuplicate"), flag(l, "MayProbe"), flag(l, "Peers"),
-        flag(l, "RetryAfter"), micros(l, "MaxRetryAfter"), get(l, "MostTries") == null ? Integer.MAX_VALUE : (int) number(l, "MostTries"),
+    return new Limits(
+        flag(l, "MayCancel"),
+        flag(l, "MayDuplicate"),
+        flag(l, "MayProbe"),
+        flag(l, "Peers"),
+        flag(l, "RetryAfter"),
+        micros(l, "MaxRetryAfter"),
+        get(l, "MostTries") == null ? Integer.MAX_VALUE : (int) number(l, "MostTries"),
         micros(l, "ConnectTimeout"));
   }
 
   private static Rules rules(JsonObject r) {
-    return new Rules(micros(r, "AnswerSlack"), micros(r, "AskEvery"), micros(r, "DrainGrace"),
-        micros(r, "Cold"), number(r, "ColdFrom"), micros(r, "Fall"), number(r, "FallMultiple"));
+    return new Rules(
+        micros(r, "AnswerSlack"),
+        micros(r, "AskEvery"),
+        micros(r, "DrainGrace"),
+        micros(r, "Cold"),
+        number(r, "ColdFrom"),
+        micros(r, "Fall"),
+        number(r, "FallMultiple"));
   }
 
   private static Loads loads(JsonObject f) {
-    return new Loads(!text(f, "MissMode").equals("miss"), flag(f, "MayLoad"), micros(f, "LoadsWithin"),
-        number(f, "FreeLoads"), number(f, "LoadsPerRequest"), micros(f, "StaysLoaded"),
-        flag(f, "WarmNotes"), flag(f, "CountsAlike"), number(f, "IdlePrice"));
+    return new Loads(
+        !text(f, "MissMode").equals("miss"),
+        flag(f, "MayLoad"),
+        micros(f, "LoadsWithin"),
+        number(f, "FreeLoads"),
+        number(f, "LoadsPerRequest"),
+        micros(f, "StaysLoaded"),
+        flag(f, "WarmNotes"),
+        flag(f, "CountsAlike"),
+        number(f, "IdlePrice"));
   }
 
   private static Report report(JsonObject r) {
     List<Field> fields = new ArrayList<>();
     for (JsonElement e : array(r, "Fields")) {
-      fields.add(switch (e.getAsString()) {
-        case "outstanding" -> Field.OUTSTANDING;
-        case "backlog" -> Field.QUEUE;
-        case "utilization" -> Field.UTILIZATION;
-        case "recent_ms" -> Field.RECENT_MS;
-        case "throughput" -> Field.THROUGHPUT;
-        case "errors_per_s" -> Field.ERRORS;
-        case "x0" -> Field.PINNED_MEMORY;
-        case "x1" -> Field.LOADS;
-        default -> Field.OTHER;
-      });
+      fields.add(
+          switch (e.getAsString()) {
+            case "outstanding" -> Field.OUTSTANDING;
+            case "backlog" -> Field.QUEUE;
+            case "utilization" -> Field.UTILIZATION;
+            case "recent_ms" -> Field.RECENT_MS;
+            case "throughput" -> Field.THROUGHPUT;
+            case "errors_per_s" -> Field.ERRORS;
+            case "x0" -> Field.PINNED_MEMORY;
+            case "x1" -> Field.LOADS;
+            default -> Field.OTHER;
+          });
     }
-    Via via = switch (text(r, "Via")) {
-      case "piggyback" -> Via.ANSWERS;
-      case "pull" -> Via.PROBES;
-      default -> Via.NONE;
-    };
+    Via via =
+        switch (text(r, "Via")) {
+          case "piggyback" -> Via.ANSWERS;
+          case "pull" -> Via.PROBES;
+          default -> Via.NONE;
+        };
     return new Report(via, List.copyOf(fields));
   }
 
   private static Costs costs(JsonObject c) {
-    return new Costs(number(c, "Probe"), number(c, "CrossZone"), number(c, "Waste"), number(c, "LateFail"),
-        number(c, "Origin"), number(c, "Peer"));
+    return new Costs(
+        number(c, "Probe"),
+        number(c, "CrossZone"),
+        number(c, "Waste"),
+        number(c, "LateFail"),
+        number(c, "Origin"),
+        number(c, "Peer"));
   }
 
   private static WeightKind weightKind(String word) {
--- a/src/main/java/saddlestall/benchlink/Wire.java
+++ b/src/main/java/saddlestall/benchlink/Wire.java
@@ -112,7 +112,8 @@
     int count = frame.getInt(0);
     long tail = HEADER_BYTES + (long) count * EVENT_BYTES;
     if (count < 0 || tail > frame.limit()) {
-      throw new BadFrame("batch of " + frame.limit() + " bytes is too short for " + count + " records");
+      throw new BadFrame(
+          "batch of " + frame.limit() + " bytes is too short for " + count + " records");
     }
     for (int i = 0; i < count; i++) {
       readRecord(frame, HEADER_BYTES + i * EVENT_BYTES, (int) tail, sink);
@@ -122,8 +123,9 @@
   private void readRecord(ByteBuffer b, int at, int tail, Sink sink) throws BadFrame {
     switch (b.get(at)) {
       case 13 -> sink.select(b.getInt(at + 1));
-      case 1 -> sink.spawn(b.getLong(at + 1),
-          new String(bytes(b, at + 9, tail, 1), StandardCharsets.UTF_8));
+      case 1 ->
+          sink.spawn(
+              b.getLong(at + 1), new String(bytes(b, at + 9, tail, 1), StandardCharsets.UTF_8));
       case 12 -> tables.set(table(b.getShort(at + 1)), members(b, at + 3, tail));
       case 2 -> sink.event(membersEvent(b, at));
       case 3 -> sink.event(call(b, at));
@@ -131,13 +133,24 @@
       case 5 -> sink.event(outcome(b, at));
       case 6 -> sink.event(new Left(b.getInt(at + 1)));
       case 7 -> sink.event(new Due(b.getLong(at + 1)));
-      case 8 -> sink.event(new Probed(micros(b.getDouble(at + 1)), b.getInt(at + 9), code(b.get(at + 13)),
-          report(b, at + 14)));
+      case 8 ->
+          sink.event(
+              new Probed(
+                  micros(b.getDouble(at + 1)),
+                  b.getInt(at + 9),
+                  code(b.get(at + 13)),
+                  report(b, at + 14)));
       case 9 -> sink.event(new Heard(b.getInt(at + 1), bytes(b, at + 5, tail, 1)));
       case 10 -> sink.killed();
-      case 11 -> sink.event(new Loaded(micros(b.getDouble(at + 1)), b.get(at + 9) & 255, b.getInt(at + 10),
-          code(b.get(at + 14)), b.getLong(at + 15)));
-      default -> { } // an event of a later version
+      case 11 ->
+          sink.event(
+              new Loaded(
+                  micros(b.getDouble(at + 1)),
+                  b.get(at + 9) & 255,
+                  b.getInt(at + 10),
+                  code(b.get(at + 14)),
+                  b.getLong(at + 15)));
+      default -> {} // an event of a later version
     }
   }
 
@@ -147,8 +160,8 @@
       throw new BadFrame("unknown kind of list " + how);
     }
     ListKind kind = ListKind.values()[how];
-    return new Members(kind,
-        kind == ListKind.FAILED ? List.of() : tables.get(table(b.getShort(at + 10))));
+    return new Members(
+        kind, kind == ListKind.FAILED ? List.of() : tables.get(table(b.getShort(at + 10))));
   }
 
   private static int table(short number) throws BadFrame {
@@ -163,23 +176,39 @@
     ByteBuffer m = ByteBuffer.wrap(raw);
     List<Member> list = new ArrayList<>();
     for (int at = 0; at < raw.length; at += MEMBER_BYTES) {
-      State state = switch (m.get(at + 2)) {
-        case 1 -> State.READY;
-        case 2 -> State.DRAINING;
-        default -> State.GONE;
-      };
-      list.add(new Member(m.getInt(at + 19), m.getShort(at) & 0xffff, m.getShort(at + 15) & 0xffff,
-          m.getShort(at + 17) & 0xffff, state, m.getFloat(at + 3), micros(m.getDouble(at + 7))));
+      State state =
+          switch (m.get(at + 2)) {
+            case 1 -> State.READY;
+            case 2 -> State.DRAINING;
+            default -> State.GONE;
+          };
+      list.add(
+          new Member(
+              m.getInt(at + 19),
+              m.getShort(at) & 0xffff,
+              m.getShort(at + 15) & 0xffff,
+              m.getShort(at + 17) & 0xffff,
+              state,
+              m.getFloat(at + 3),
+              micros(m.getDouble(at + 7))));
     }
     return List.copyOf(list);
   }
 
   private static Call call(ByteBuffer b, int at) {
     int bits = b.get(at + 40);
-    return new Call(b.getInt(at + 1), micros(b.getDouble(at + 5)),
-        (bits & 1) != 0 ? micros(b.getDouble(at + 13)) : 0, b.getLong(at + 21), b.getFloat(at + 29),
-        b.getFloat(at + 33), b.get(at + 37) & 255, b.getShort(at + 38) & 0xffff, (bits & 2) != 0,
-        (bits & 4) != 0, micros(b.getFloat(at + 41)));
+    return new Call(
+        b.getInt(at + 1),
+        micros(b.getDouble(at + 5)),
+        (bits & 1) != 0 ? micros(b.getDouble(at + 13)) : 0,
+        b.getLong(at + 21),
+        b.getFloat(at + 29),
+        b.getFloat(at + 33),
+        b.get(at + 37) & 255,
+        b.getShort(at + 38) & 0xffff,
+        (bits & 2) != 0,
+        (bits & 4) != 0,
+        micros(b.getFloat(at + 41)));
   }
 
   private static Outcome outcome(ByteBuffer b, int at) {
@@ -187,9 +216,15 @@
     int remark = b.getInt(at + 20);
     int note = remark & 7;
     boolean counted = code == Code.OK || code == Code.FULL;
-    return new Outcome(b.getInt(at + 1), b.get(at + 5) & 255, b.getInt(at + 6), code,
-        micros(b.getDouble(at + 11)), b.get(at + 19) != 0,
-        note < Note.values().length ? Note.values()[note] : Note.NONE, counted ? remark >> 3 : -1,
+    return new Outcome(
+        b.getInt(at + 1),
+        b.get(at + 5) & 255,
+        b.getInt(at + 6),
+        code,
+        micros(b.getDouble(at + 11)),
+        b.get(at + 19) != 0,
+        note < Note.values().length ? Note.values()[note] : Note.NONE,
+        counted ? remark >> 3 : -1,
         report(b, at + 24));
   }
 
--- a/src/main/java/umberrun/FleetAssembly.java
+++ b/src/main/java/umberrun/FleetAssembly.java
@@ -19,8 +19,8 @@
 import umberrun.works.net.WorksPart;
 
 /**
- * Puts together what front ends do with each other: the view of the fleet, duties by lease, works. Made, and with it the classes of all
- * three loaded, only where the operator's file has them.
+ * Puts together what front ends do with each other: the view of the fleet, duties by lease, works.
+ * Made, and with it the classes of all three loaded, only where the operator's file has them.
  */
 final class FleetAssembly {
   private final FleetPart fleet;
@@ -28,27 +28,80 @@
   private final WorksPart works;
   private final Duty duty;
 
-  /** @param shared the folder that processes of this front end share, or null */
-  FleetAssembly(Vertx vertx, Owner owner, Clock clock, Counters counters, Account account, Config config, Duty duty, Path shared,
+  /**
+   * @param shared the folder that processes of this front end share, or null
+   */
+  FleetAssembly(
+      Vertx vertx,
+      Owner owner,
+      Clock clock,
+      Counters counters,
+      Account account,
+      Config config,
+      Duty duty,
+      Path shared,
       Consumer<String> log) {
     OperatorFile file = config.file();
     List<String> halls = config.names().zones();
     int zone = config.settings().zone();
     String hall = zone < halls.size() ? halls.get(zone) : "";
     this.duty = duty;
-    fleet = new FleetPart(vertx, owner, clock, counters, account, file.fleet(), new FleetPart.Identity(config.name(), hall,
-        file.learning() == null ? "" : file.learning().listen().toString(), config.door() == null ? "" : config.door().toString(),
-        config.settings().siblings(), config.seed()), duty::state, log);
-    leases = file.leases() == null ? null : new LeasePart(vertx, clock, owner, counters, file.leases(), fleet, file.fleet().name(), halls,
-        hall, config.seed(), duty::state, log);
-    works = file.works() == null ? null : new WorksPart(vertx, clock, owner, counters, file.works(), fleet, leases.registers(), halls,
-        config.names().kinds(), shared, log);
+    fleet =
+        new FleetPart(
+            vertx,
+            owner,
+            clock,
+            counters,
+            account,
+            file.fleet(),
+            new FleetPart.Identity(
+                config.name(),
+                hall,
+                file.learning() == null ? "" : file.learning().listen().toString(),
+                config.door() == null ? "" : config.door().toString(),
+                config.settings().siblings(),
+                config.seed()),
+            duty::state,
+            log);
+    leases =
+        file.leases() == null
+            ? null
+            : new LeasePart(
+                vertx,
+                clock,
+                owner,
+                counters,
+                file.leases(),
+                fleet,
+                file.fleet().name(),
+                halls,
+                hall,
+                config.seed(),
+                duty::state,
+                log);
+    works =
+        file.works() == null
+            ? null
+            : new WorksPart(
+                vertx,
+                clock,
+                owner,
+                counters,
+                file.works(),
+                fleet,
+                leases.registers(),
+                halls,
+                config.names().kinds(),
+                shared,
+                log);
     if (works != null) {
       leases.bring(works.duty(), works);
     }
   }
 
-  /** @param consul where members are looked for too, or null */
+  /**
+   * @param consul where members are looked for too, or null
+   */
   void start(Consul consul) {
     fleet.start(consul);
   }
@@ -75,17 +128,25 @@
     return works == null ? Future.succeededFuture() : works.bound();
   }
 
-  /** The process was told to end: duties are given back, and where it has a successor, that one gets listener and voter's folder. */
+  /**
+   * The process was told to end: duties are given back, and where it has a successor, that one gets
+   * listener and voter's folder.
+   */
   void leave(boolean succeeded) {
     Future<Void> given = leases == null ? Future.succeededFuture() : leases.leave();
     if (succeeded) {
-      given.compose(v -> leases == null ? Future.succeededFuture() : leases.close()).onComplete(v -> fleet.leave(true));
+      given
+          .compose(v -> leases == null ? Future.succeededFuture() : leases.close())
+          .onComplete(v -> fleet.leave(true));
     }
   }
 
   /** Nothing more goes out to workers: off the roll, and good-bye. */
   Future<Void> end() {
-    Future<Void> offRoll = works == null ? Future.succeededFuture() : works.leave(duty.state() == Duty.State.HANDING_OVER);
+    Future<Void> offRoll =
+        works == null
+            ? Future.succeededFuture()
+            : works.leave(duty.state() == Duty.State.HANDING_OVER);
     return offRoll.onComplete(v -> fleet.leave(false));
   }
 }
--- a/src/main/java/umberrun/Main.java
+++ b/src/main/java/umberrun/Main.java
@@ -6,9 +6,12 @@
 import umberrun.cli.Commands;
 import umberrun.config.Config.BadConfig;
 
-/** The command line: {@code serve} is a real front end, {@code benchlink} the same decisions on the simulator's wire. */
+/**
+ * The command line: {@code serve} is a real front end, {@code benchlink} the same decisions on the
+ * simulator's wire.
+ */
 public final class Main {
-  private Main() { }
+  private Main() {}
 
   /** Ends with 2 on wrong usage or a configuration that can't be served. */
   public static void main(String[] args) {
@@ -28,11 +31,13 @@
   }
 
   /**
-   * Has the libraries log by what the JDK brings. Guards start and memory: they would load SLF4J and what is behind it, which is
-   * there for the parts that write structured lines. To be called before any class of theirs is used.
+   * Has the libraries log by what the JDK brings. Guards start and memory: they would load SLF4J
+   * and what is behind it, which is there for the parts that write structured lines. To be called
+   * before any class of theirs is used.
    */
   static void quietLibraries() {
-    System.setProperty("vertx.logger-delegate-factory-class-name", "io.vertx.core.logging.JULLogDelegateFactory");
+    System.setProperty(
+        "vertx.logger-delegate-factory-class-name", "io.vertx.core.logging.JULLogDelegateFactory");
     InternalLoggerFactory.setDefaultFactory(JdkLoggerFactory.INSTANCE);
   }
 }
--- a/src/main/java/umberrun/Rehearsal.java
+++ b/src/main/java/umberrun/Rehearsal.java
@@ -28,40 +28,45 @@
 import umberrun.worker.WorkerPool;
 
 /**
- * Runs the paths that every call takes before the first one comes, so that they are compiled by then: on one
- * core the first seconds of a cold virtual machine else answer late. Decides nothing and sends nothing to others:
- * a module of its own is thrown away, and the front's own port is asked for its heartbeat.
+ * Runs the paths that every call takes before the first one comes, so that they are compiled by
+ * then: on one core the first seconds of a cold virtual machine else answer late. Decides nothing
+ * and sends nothing to others: a module of its own is thrown away, and the front's own port is
+ * asked for its heartbeat.
  *
- * <p>Each path is taken little more often than it takes for its methods to be compiled (200 times): planned restarts
- * follow each other, and a front end that is not back when the last of the others ends costs every call until it is.
- * Where many calls come at once, the ones that a cold front end answers late cost more than the time: there it is more.
+ * <p>Each path is taken little more often than it takes for its methods to be compiled (200 times):
+ * planned restarts follow each other, and a front end that is not back when the last of the others
+ * ends costs every call until it is. Where many calls come at once, the ones that a cold front end
+ * answers late cost more than the time: there it is more.
  */
 final class Rehearsal {
   private static final long MODULE_NANOS = 1_200_000_000L;
-  private static final int MODULE_CALLS = 5; // for each turn of the other paths: it is cheaper, and has more branches
+  private static final int MODULE_CALLS =
+      5; // for each turn of the other paths: it is cheaper, and has more branches
   private static final int LEAST_TURNS = 300;
   private static final int MOST_TURNS = 3_200;
   private static final int SECONDS_OF_CALLS = 3;
   private static final int AT_ONCE = 8;
   private static final long SOCKET_MILLIS = 1_500;
 
-  private Rehearsal() { }
+  private Rehearsal() {}
 
   /** How often each path is taken: for as many calls as are likely to come in some seconds. */
   static int turns(Settings settings) {
     double quota = settings.tenants().stream().mapToDouble(Tenant::quotaPerSecond).sum();
-    return (int) Math.max(LEAST_TURNS, Math.min(MOST_TURNS, SECONDS_OF_CALLS * quota / settings.siblings()));
+    return (int)
+        Math.max(LEAST_TURNS, Math.min(MOST_TURNS, SECONDS_OF_CALLS * quota / settings.siblings()));
   }
 
   /** Takes a throw-away module through calls, answers and ticks, on a clock of its own. */
   static void module(Settings settings) {
     ArrayDeque<Send> sends = new ArrayDeque<>();
     long now = 1_000_000_000L;
-    java.util.function.Consumer<Action> actions = a -> {
-      if (a instanceof Send s) {
-        sends.add(s);
-      }
-    };
+    java.util.function.Consumer<Action> actions =
+        a -> {
+          if (a instanceof Send s) {
+            sends.add(s);
+          }
+        };
     Choice module = new Choice(settings, 1, now, actions);
     List<Member> members = new ArrayList<>();
     for (int i = 1; i <= 16; i++) {
@@ -73,17 +78,40 @@
     for (int id = 1; id <= MODULE_CALLS * turns(settings) && System.nanoTime() < end; id++) {
       now += 3_000;
       int callClass = id % settings.classes().size();
-      module.handle(now, new Call(id, settings.classes().get(callClass).giveUp(), 0,
-          1 + (long) (40 * random.nextDouble() * random.nextDouble()), 4, 4_000, callClass,
-          id % Math.max(1, settings.tenants().size()), false, false, 1_500_000), actions);
+      module.handle(
+          now,
+          new Call(
+              id,
+              settings.classes().get(callClass).giveUp(),
+              0,
+              1 + (long) (40 * random.nextDouble() * random.nextDouble()),
+              4,
+              4_000,
+              callClass,
+              id % Math.max(1, settings.tenants().size()),
+              false,
+              false,
+              1_500_000),
+          actions);
       if (id % 16 == 0) {
         module.handle(now, new Due(-1), actions);
       }
       while (sends.size() > 12) {
         Send s = sends.poll();
         boolean full = id % 50 == 0;
-        module.handle(now, new Outcome(s.call(), 0, s.worker(), full ? Code.FULL : Code.OK, 60_000, !full, Note.WARM,
-            1, null), actions);
+        module.handle(
+            now,
+            new Outcome(
+                s.call(),
+                0,
+                s.worker(),
+                full ? Code.FULL : Code.OK,
+                60_000,
+                !full,
+                Note.WARM,
+                1,
+                null),
+            actions);
       }
     }
   }
@@ -97,7 +125,10 @@
   static Future<Void> sockets(Vertx vertx, SocketAddress address, int turns) {
     Promise<Void> done = Promise.promise();
     long limit = vertx.setTimer(SOCKET_MILLIS, t -> done.tryComplete());
-    vertx.createNetClient().connect(address.port(), address.host()).onFailure(e -> done.tryComplete())
+    vertx
+        .createNetClient()
+        .connect(address.port(), address.host())
+        .onFailure(e -> done.tryComplete())
         .onSuccess(socket -> ask(socket, turns, done));
     return done.future().onComplete(v -> vertx.cancelTimer(limit));
   }
@@ -106,24 +137,26 @@
     int answer = RpcFront.heartbeatAnswerBytes();
     int[] heard = {0};
     int[] asked = {0};
-    Runnable round = () -> {
-      Buffer batch = Buffer.buffer();
-      for (int i = 0; i < AT_ONCE; i++) {
-        batch.appendBuffer(RpcFront.rehearsalRequest(1));
-      }
-      asked[0] += AT_ONCE;
-      socket.write(batch);
-    };
-    socket.handler(b -> {
-      heard[0] += b.length();
-      if (heard[0] >= asked[0] * answer) {
-        if (asked[0] >= turns) {
-          done.tryComplete();
-        } else {
-          round.run();
-        }
-      }
-    });
+    Runnable round =
+        () -> {
+          Buffer batch = Buffer.buffer();
+          for (int i = 0; i < AT_ONCE; i++) {
+            batch.appendBuffer(RpcFront.rehearsalRequest(1));
+          }
+          asked[0] += AT_ONCE;
+          socket.write(batch);
+        };
+    socket.handler(
+        b -> {
+          heard[0] += b.length();
+          if (heard[0] >= asked[0] * answer) {
+            if (asked[0] >= turns) {
+              done.tryComplete();
+            } else {
+              round.run();
+            }
+          }
+        });
     socket.closeHandler(v -> done.tryComplete());
     done.future().onComplete(v -> socket.close());
     round.run();
--- a/src/main/java/umberrun/Server.java
+++ b/src/main/java/umberrun/Server.java
@@ -18,14 +18,16 @@
 import java.util.concurrent.TimeUnit;
 import saddlestall.Choice;
 import saddlestall.Dispatcher.CallClass;
+import sun.misc.Signal;
+import sun.misc.SignalHandler;
 import umberrun.admission.Account;
 import umberrun.config.Config;
 import umberrun.config.Config.BadConfig;
 import umberrun.config.OperatorFile;
 import umberrun.core.Clock;
 import umberrun.core.Duty;
-import umberrun.core.Owner;
 import umberrun.core.Invocations;
+import umberrun.core.Owner;
 import umberrun.front.invoke.InvokeFront;
 import umberrun.front.rpc.RpcFront;
 import umberrun.handover.Handover;
@@ -37,26 +39,34 @@
 import umberrun.roll.Roll;
 import umberrun.stats.Counters;
 import umberrun.stats.Counters.Count;
-import sun.misc.Signal;
-import sun.misc.SignalHandler;
 import umberrun.worker.WorkerPool;
 
 /** Puts the parts of one front end together, on one event loop, and takes them apart on SIGTERM. */
 final class Server {
   /** After SIGTERM connections and calls keep coming for at most this long. */
   private static final long ACCEPT_MILLIS = 700;
+
   private static final long CATCH_UP_MILLIS = 10;
+
   /** A new configuration that can't be read may be half written: it is read so many times more. */
   private static final int RELOADS = 5;
+
   private static final long RELOAD_MILLIS = 200;
   private static final long WATCH_MILLIS = 250;
   private static final long LET_GO_MILLIS = 20;
+
   /** What has come by the end of the last answer is read within this. */
   private static final long CROSSING_MILLIS = 20;
-  /** A late machine has this long to cut what is open at the very end; who waits no longer than that kills the process. */
+
+  /**
+   * A late machine has this long to cut what is open at the very end; who waits no longer than that
+   * kills the process.
+   */
   private static final long LAST_MILLIS = 1_000;
+
   /** A process lives for at least and at most so long before it has read its configuration. */
   private static final long LEAST_START_MILLIS = 300;
+
   private static final long MOST_START_MILLIS = 2_000;
 
   private final Config config;
@@ -69,11 +79,15 @@
   private InvokeFront invoke;
   private final List<Roll> rolls = new ArrayList<>();
   private ChangeLog changeLog;
+
   /** Where the change log answers by now. */
   private SocketAddress changeLogAddress;
+
   private final Clock clock = new Clock();
+
   /** What the configuration holds of the list was so when this process was started. */
   private final long startedAt = clock.now() - age();
+
   private final Duty duty;
   private final Account account;
   private final SingleLoop transport = new SingleLoop();
@@ -89,23 +103,45 @@
   private int rpcPort;
   private int invokePort;
 
-  /** @param shared the folder that processes of this front end share, or null */
+  /**
+   * @param shared the folder that processes of this front end share, or null
+   */
   Server(Config config, Path shared) throws BadConfig {
     this.config = config;
     this.account = config.account();
     this.changeLogAddress = config.changelog();
     this.shared = shared;
-    this.duty = new Duty(config.settings().classes().stream().mapToLong(CallClass::giveUp).max().orElse(0));
-    // One core: one event loop, and next to no threads beside it. Nothing is read from the class path or cached.
-    this.vertx = Vertx.builder().withTransport(transport).with(new VertxOptions().setEventLoopPoolSize(1)
-        .setWorkerPoolSize(1).setInternalBlockingPoolSize(1).setFileSystemOptions(
-            new FileSystemOptions().setFileCachingEnabled(false).setClassPathResolvingEnabled(false))).build();
+    this.duty =
+        new Duty(config.settings().classes().stream().mapToLong(CallClass::giveUp).max().orElse(0));
+    // One core: one event loop, and next to no threads beside it. Nothing is read from the class
+    // path or cached.
+    this.vertx =
+        Vertx.builder()
+            .withTransport(transport)
+            .with(
+                new VertxOptions()
+                    .setEventLoopPoolSize(1)
+                    .setWorkerPoolSize(1)
+                    .setInternalBlockingPoolSize(1)
+                    .setFileSystemOptions(
+                        new FileSystemOptions()
+                            .setFileCachingEnabled(false)
+                            .setClassPathResolvingEnabled(false)))
+            .build();
     this.context = vertx.getOrCreateContext();
   }
 
-  /** How long this process has lived, in microseconds; within bounds, as the system's clock may have been stepped meanwhile. */
+  /**
+   * How long this process has lived, in microseconds; within bounds, as the system's clock may have
+   * been stepped meanwhile.
+   */
   private static long age() {
-    long millis = ProcessHandle.current().info().startInstant().map(at -> System.currentTimeMillis() - at.toEpochMilli()).orElse(0L);
+    long millis =
+        ProcessHandle.current()
+            .info()
+            .startInstant()
+            .map(at -> System.currentTimeMillis() - at.toEpochMilli())
+            .orElse(0L);
     return 1_000 * Math.min(MOST_START_MILLIS, Math.max(LEAST_START_MILLIS, millis));
   }
 
@@ -117,16 +153,24 @@
     String temporary = env.getOrDefault("TMPDIR", "");
     Server server;
     try {
-      server = new Server(config, temporary.isEmpty() || config.door() == null ? null
-          : Handover.folder(Path.of(temporary), config.name(), config.deployment()));
+      server =
+          new Server(
+              config,
+              temporary.isEmpty() || config.door() == null
+                  ? null
+                  : Handover.folder(Path.of(temporary), config.name(), config.deployment()));
     } catch (IOException e) {
       throw new BadConfig("TMPDIR can't be used: " + e);
     }
     made.complete(server);
-    server.start().onSuccess(v -> log(config.name() + " listens on " + config.listen())).onFailure(e -> {
-      System.err.println("umberrun: can't start: " + e.getMessage());
-      Runtime.getRuntime().halt(2);
-    });
+    server
+        .start()
+        .onSuccess(v -> log(config.name() + " listens on " + config.listen()))
+        .onFailure(
+            e -> {
+              System.err.println("umberrun: can't start: " + e.getMessage());
+              Runtime.getRuntime().halt(2);
+            });
     Runtime.getRuntime().addShutdownHook(new Thread(server::leave, "leave"));
   }
 
@@ -137,89 +181,128 @@
   }
 
   /**
-   * Takes the signals that do not end the process: unheeded, each of them would. To be called before the configuration is read, and
-   * what comes before there is a server is carried out by it: guards the list of workers against a change log that moves meanwhile.
+   * Takes the signals that do not end the process: unheeded, each of them would. To be called
+   * before the configuration is read, and what comes before there is a server is carried out by it:
+   * guards the list of workers against a change log that moves meanwhile.
    */
   static void heed(Map<String, String> env, CompletableFuture<Server> made) {
     Object read = modified(env);
-    if (Signal.handle(new Signal("HUP"), s -> made.thenAccept(server -> server.moved(env, server.clock.now()))) == SignalHandler.SIG_IGN) {
+    if (Signal.handle(
+            new Signal("HUP"),
+            s -> made.thenAccept(server -> server.moved(env, server.clock.now())))
+        == SignalHandler.SIG_IGN) {
       made.thenAccept(server -> server.watch(env, read));
     }
-    Signal.handle(new Signal("USR2"), s -> made.thenAccept(server -> server.context.runOnContext(v -> log(server.counters.line()))));
+    Signal.handle(
+        new Signal("USR2"),
+        s ->
+            made.thenAccept(
+                server -> server.context.runOnContext(v -> log(server.counters.line()))));
   }
 
   /**
-   * Looks at the configuration's file now and then: guards the list of workers against a parent that ignores the signal, as
-   * {@code nohup} does. The virtual machine then can't take it, and a change log that has moved would be quiet for good.
+   * Looks at the configuration's file now and then: guards the list of workers against a parent
+   * that ignores the signal, as {@code nohup} does. The virtual machine then can't take it, and a
+   * change log that has moved would be quiet for good.
    */
   private void watch(Map<String, String> env, Object before) {
-    vertx.setTimer(WATCH_MILLIS, t -> vertx.executeBlocking(() -> {
-      Object now = modified(env);
-      if (!now.equals(before)) {
-        moved(env, clock.now() - 1_000 * WATCH_MILLIS);
-      }
-      return now;
-    }).onSuccess(now -> watch(env, now)));
+    vertx.setTimer(
+        WATCH_MILLIS,
+        t ->
+            vertx
+                .executeBlocking(
+                    () -> {
+                      Object now = modified(env);
+                      if (!now.equals(before)) {
+                        moved(env, clock.now() - 1_000 * WATCH_MILLIS);
+                      }
+                      return now;
+                    })
+                .onSuccess(now -> watch(env, now)));
   }
 
   private static Object modified(Map<String, String> env) {
     try {
-      return Files.readAttributes(Path.of(env.getOrDefault("EDGE_CONFIG", "")), "unix:ino,lastModifiedTime,size").toString();
+      return Files.readAttributes(
+              Path.of(env.getOrDefault("EDGE_CONFIG", "")), "unix:ino,lastModifiedTime,size")
+          .toString();
     } catch (IOException e) { // not there for a moment: read as a change, refused, and read again
       return "";
     }
   }
 
-  /** Was told of a new configuration at {@code at}: from then on discovery may be elsewhere, also where the file can't be read yet. */
+  /**
+   * Was told of a new configuration at {@code at}: from then on discovery may be elsewhere, also
+   * where the file can't be read yet.
+   */
   private void moved(Map<String, String> env, long at) {
-    context.runOnContext(v -> {
-      if (owner != null) {
-        owner.discovery().moved(at);
-      }
-    });
+    context.runOnContext(
+        v -> {
+          if (owner != null) {
+            owner.discovery().moved(at);
+          }
+        });
     reload(env, RELOADS);
   }
 
   /**
-   * Reads the configuration again. While running only the change log may move; a file that is bad changes nothing, and is looked at
-   * again a little later. One at a time: guards against two signals in a row of which the second is done first, as each has a thread.
+   * Reads the configuration again. While running only the change log may move; a file that is bad
+   * changes nothing, and is looked at again a little later. One at a time: guards against two
+   * signals in a row of which the second is done first, as each has a thread.
    */
   private synchronized void reload(Map<String, String> env, int moreTries) {
     try {
       SocketAddress address = Config.read(env).changelog();
-      context.runOnContext(v -> {
-        changeLogAddress = address != null ? address : changeLogAddress;
-        if (changeLog != null) { // else it is made with this address, later in the start
-          changeLog.moveTo(changeLogAddress);
-        }
-        counters.add(Count.CONFIGS_TAKEN);
-        log("configuration read again, the change log is at " + address);
-      });
-    } catch (BadConfig | RuntimeException e) { // guards against a file that is half written or wrong
+      context.runOnContext(
+          v -> {
+            changeLogAddress = address != null ? address : changeLogAddress;
+            if (changeLog != null) { // else it is made with this address, later in the start
+              changeLog.moveTo(changeLogAddress);
+            }
+            counters.add(Count.CONFIGS_TAKEN);
+            log("configuration read again, the change log is at " + address);
+          });
+    } catch (BadConfig
+        | RuntimeException e) { // guards against a file that is half written or wrong
       log("configuration kept as it was: " + e.getMessage());
-      context.runOnContext(v -> {
-        counters.add(Count.CONFIGS_REFUSED);
-        if (moreTries > 0) {
-          vertx.setTimer(RELOAD_MILLIS, t -> vertx.executeBlocking(() -> {
-            reload(env, moreTries - 1);
-            return null;
-          }));
-        }
-      });
+      context.runOnContext(
+          v -> {
+            counters.add(Count.CONFIGS_REFUSED);
+            if (moreTries > 0) {
+              vertx.setTimer(
+                  RELOAD_MILLIS,
+                  t ->
+                      vertx.executeBlocking(
+                          () -> {
+                            reload(env, moreTries - 1);
+                            return null;
+                          }));
+            }
+          });
     }
   }
 
   /** Brings all parts up; done once calls are welcome. */
   Future<Void> open() {
     Promise<Void> opened = Promise.promise();
-    context.runOnContext(v -> Future.<Void>succeededFuture().compose(x -> assemble()).onComplete(opened));
+    context.runOnContext(
+        v -> Future.<Void>succeededFuture().compose(x -> assemble()).onComplete(opened));
     return opened.future();
   }
 
   private Future<Void> assemble() {
-    owner = new Owner(vertx, context, clock, counters, config.settings(), Server::log,
-        actions -> new Choice(config.settings(), config.seed(), clock.now(), actions),
-        o -> new WorkerPool(vertx, clock, counters, config.settings(), config.names(), account, o));
+    owner =
+        new Owner(
+            vertx,
+            context,
+            clock,
+            counters,
+            config.settings(),
+            Server::log,
+            actions -> new Choice(config.settings(), config.seed(), clock.now(), actions),
+            o ->
+                new WorkerPool(
+                    vertx, clock, counters, config.settings(), config.names(), account, o));
     OperatorFile file = config.file();
     if (changeLogAddress != null && (file == null || !file.listsWorkers())) {
       changeLog = new ChangeLog(vertx, changeLogAddress, owner, clock, config.names(), counters);
@@ -227,45 +310,79 @@
       changeLog.known(config.known());
       rolls.add(changeLog);
     }
-    rpc = new RpcFront(vertx, owner, counters, config.names(), duty, clock, account,
-        config.answerBytes());
+    rpc =
+        new RpcFront(
+            vertx, owner, counters, config.names(), duty, clock, account, config.answerBytes());
     if (file != null && file.invoke() != null) {
-      invoke = new InvokeFront(vertx, owner, new Invocations(vertx, clock, owner, counters, file.deferred()),
-          counters, config.names(), duty, clock, account);
+      invoke =
+          new InvokeFront(
+              vertx,
+              owner,
+              new Invocations(vertx, clock, owner, counters, file.deferred()),
+              counters,
+              config.names(),
+              duty,
+              clock,
+              account);
     }
     if (file != null && file.consul() != null) {
       if (file.listsWorkers()) {
         owner.discovery().follow(startedAt);
       }
-      consul = new Consul(vertx, owner, clock, config.names(), file.consul(), config.name(), file.invoke(), counters);
+      consul =
+          new Consul(
+              vertx,
+              owner,
+              clock,
+              config.names(),
+              file.consul(),
+              config.name(),
+              file.invoke(),
+              counters);
       rolls.add(consul);
     }
     return openDoor()
-        .compose(v -> {
-          openToFleet();
-          return openToPeers();
-        })
-        .compose(v -> takeOver()) // first, so that the process that is replaced has time to leave what it knows
-        .compose(v -> rpc.privately(config.listen().host(),
-            address -> Rehearsal.sockets(vertx, address, Rehearsal.turns(config.settings()))))
-        .compose(v -> {
-          rolls.forEach(Roll::start);
-          return onTime();
-        })
+        .compose(
+            v -> {
+              openToFleet();
+              return openToPeers();
+            })
+        .compose(
+            v ->
+                takeOver()) // first, so that the process that is replaced has time to leave what it
+        // knows
+        .compose(
+            v ->
+                rpc.privately(
+                    config.listen().host(),
+                    address ->
+                        Rehearsal.sockets(vertx, address, Rehearsal.turns(config.settings()))))
+        .compose(
+            v -> {
+              rolls.forEach(Roll::start);
+              return onTime();
+            })
         .compose(v -> learned)
         .compose(v -> handover == null ? Future.succeededFuture() : handover.ready())
-        .compose(v -> fleet == null ? Future.succeededFuture() : fleet.bound()) // before anything is sent to a worker
+        .compose(
+            v ->
+                fleet == null
+                    ? Future.succeededFuture()
+                    : fleet.bound()) // before anything is sent to a worker
         .compose(v -> rpc.listen(config.listen()))
-        .compose(port -> {
-          rpcPort = port;
-          duty.serve(clock.now()); // in the same turn: a heartbeat that is told no keeps clients away
-          fit = duty.isFit();
-          return invoke == null ? Future.succeededFuture(0) : invoke.listen(file.invoke());
-        })
-        .map(port -> {
-          invokePort = port;
-          return null;
-        });
+        .compose(
+            port -> {
+              rpcPort = port;
+              duty.serve(
+                  clock.now()); // in the same turn: a heartbeat that is told no keeps clients away
+              fit = duty.isFit();
+              return invoke == null ? Future.succeededFuture(0) : invoke.listen(file.invoke());
+            })
+        .map(
+            port -> {
+              invokePort = port;
+              return null;
+            });
   }
 
   /** Begins to speak with the other members of the fleet, and goes on meanwhile. */
@@ -274,7 +391,9 @@
     if (file == null || file.fleet() == null) {
       return;
     }
-    fleet = new FleetAssembly(vertx, owner, clock, counters, account, config, duty, shared, Server::log);
+    fleet =
+        new FleetAssembly(
+            vertx, owner, clock, counters, account, config, duty, shared, Server::log);
     fleet.start(consul == null || !file.fleet().consul() ? null : consul);
   }
 
@@ -284,22 +403,37 @@
     if (settings == null) {
       return Future.succeededFuture();
     }
-    learned = new Learning(vertx, owner, clock, counters, settings, config.seed(), fleet == null ? null : fleet::learners,
-        Server::log).learn();
-    return new PeerServer(vertx, owner, clock, counters, settings, account).listen(settings.listen()).map(port -> {
-      peerPort = port;
-      return null;
-    });
+    learned =
+        new Learning(
+                vertx,
+                owner,
+                clock,
+                counters,
+                settings,
+                config.seed(),
+                fleet == null ? null : fleet::learners,
+                Server::log)
+            .learn();
+    return new PeerServer(vertx, owner, clock, counters, settings, account)
+        .listen(settings.listen())
+        .map(
+            port -> {
+              peerPort = port;
+              return null;
+            });
   }
 
   private Future<Void> openDoor() {
     if (config.door() == null) {
       return Future.succeededFuture();
     }
-    return new Door(vertx, new Verbs(), counters, account).listen(config.door()).map(port -> {
-      doorPort = port;
-      return null;
-    });
+    return new Door(vertx, new Verbs(), counters, account)
+        .listen(config.door())
+        .map(
+            port -> {
+              doorPort = port;
+              return null;
+            });
   }
 
   /** Learns what holds from the process that this one replaces, if there is one. */
@@ -307,10 +441,12 @@
     if (shared == null) {
       return Future.succeededFuture();
     }
-    return Handover.open(vertx, owner, clock, shared, Server::log, this::share).map(h -> {
-      handover = h;
-      return null;
-    });
+    return Handover.open(vertx, owner, clock, shared, Server::log, this::share)
+        .map(
+            h -> {
+              handover = h;
+              return null;
+            });
   }
 
   /** Two processes share the limits of one: each holds half as many connections. */
@@ -362,7 +498,9 @@
       if (fleet != null && !out) {
         fleet.resumedByHand(worker);
       }
-      return handover == null ? owner.setOut(worker, out, clock.now()) : handover.setOut(worker, out, clock.now());
+      return handover == null
+          ? owner.setOut(worker, out, clock.now())
+          : handover.setOut(worker, out, clock.now());
     }
   }
 
@@ -389,9 +527,13 @@
     }
   }
 
-  /** Done once the loop has caught up with what the start cost it: until then calls would be refused. */
+  /**
+   * Done once the loop has caught up with what the start cost it: until then calls would be
+   * refused.
+   */
   private Future<Void> onTime() {
-    return owner.isOnTime() ? Future.succeededFuture()
+    return owner.isOnTime()
+        ? Future.succeededFuture()
         : vertx.timer(CATCH_UP_MILLIS).compose(v -> onTime());
   }
 
@@ -431,15 +573,16 @@
 
   /** Runs while the process is told to end; it ends when this returns. */
   void leave() {
-    context.runOnContext(v -> {
-      if (rpc == null) {
-        done.countDown();
-      } else if (handover == null) {
-        leave(false);
-      } else {
-        handover.leave().onSuccess(this::leave);
-      }
-    });
+    context.runOnContext(
+        v -> {
+          if (rpc == null) {
+            done.countDown();
+          } else if (handover == null) {
+            leave(false);
+          } else {
+            handover.leave().onSuccess(this::leave);
+          }
+        });
     try {
       done.await(duty.lasts() / 1_000 + LAST_MILLIS, TimeUnit.MILLISECONDS);
     } catch (InterruptedException e) {
@@ -462,7 +605,8 @@
     }
     if (succeeded) {
       stopListening();
-      // What waited in the queue comes a moment later, so that having no connection now does not mean to have none.
+      // What waited in the queue comes a moment later, so that having no connection now does not
+      // mean to have none.
       vertx.setTimer(ACCEPT_MILLIS, t -> rpc.whenEmpty(() -> owner.whenIdle(this::end)));
     } else {
       vertx.setTimer(ACCEPT_MILLIS, t -> owner.whenIdle(this::end));
@@ -470,25 +614,30 @@
   }
 
   /**
-   * Nothing is owed. No connections are taken any more; guards those that the system has accepted meanwhile, and what lies unread,
-   * which come in within the moment that follows.
+   * Nothing is owed. No connections are taken any more; guards those that the system has accepted
+   * meanwhile, and what lies unread, which come in within the moment that follows.
    */
   private void end() {
-    stopListening().eventually(() -> fleet == null ? Future.succeededFuture() : fleet.end())
+    stopListening()
+        .eventually(() -> fleet == null ? Future.succeededFuture() : fleet.end())
         .eventually(() -> vertx.timer(CROSSING_MILLIS))
         .eventually(() -> invoke == null ? Future.succeededFuture() : invoke.end())
         .onComplete(v -> endOnceQuiet());
   }
 
-  /** The process ends when nothing is owed, the last answers have left, and no request lies here by half. */
+  /**
+   * The process ends when nothing is owed, the last answers have left, and no request lies here by
+   * half.
+   */
   private void endOnceQuiet() {
-    owner.whenIdle(() -> {
-      if (rpc.isQuiet()) {
-        done.countDown();
-      } else {
-        rpc.whenQuiet(this::endOnceQuiet);
-      }
-    });
+    owner.whenIdle(
+        () -> {
+          if (rpc.isQuiet()) {
+            done.countDown();
+          } else {
+            rpc.whenQuiet(this::endOnceQuiet);
+          }
+        });
   }
 
   private Future<Void> stopListening() {
--- a/src/main/java/umberrun/SingleLoop.java
+++ b/src/main/java/umberrun/SingleLoop.java
@@ -18,13 +18,14 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * Java's own sockets with one event loop for everything, accepting included. The library would accept on a thread
- * of its own, which goes on while the loop is late: new connections then use descriptors up before anything
- * here can count them, and once none is left accepting rests for a second and no worker can be reached. On one
- * loop, what can't be looked at yet waits in the system's queue.
+ * Java's own sockets with one event loop for everything, accepting included. The library would
+ * accept on a thread of its own, which goes on while the loop is late: new connections then use
+ * descriptors up before anything here can count them, and once none is left accepting rests for a
+ * second and no worker can be reached. On one loop, what can't be looked at yet waits in the
+ * system's queue.
  *
- * <p>Listeners that ask for it share their address with another process (SO_REUSEPORT), which the library's own
- * transport passes over, and can be closed without losing what waits in their queue.
+ * <p>Listeners that ask for it share their address with another process (SO_REUSEPORT), which the
+ * library's own transport passes over, and can be closed without losing what waits in their queue.
  */
 final class SingleLoop extends NioTransport implements Transport {
   private EventLoopGroup loop;
@@ -33,9 +34,9 @@
   /** A listening socket that can be closed without resetting what waits in its queue. */
   private static final class Listener extends NioServerSocketChannel {
     /**
-     * A socket that is still registered with the selector is closed only when that next looks, and goes on taking
-     * connections until then, all of which the system resets. So it is deregistered first; then what waits is taken
-     * and the socket closed with nothing in between.
+     * A socket that is still registered with the selector is closed only when that next looks, and
+     * goes on taking connections until then, all of which the system resets. So it is deregistered
+     * first; then what waits is taken and the socket closed with nothing in between.
      */
     Future<Void> leave() {
       Promise<Void> left = Promise.promise();
@@ -53,7 +54,9 @@
         while (doReadMessages(accepted) > 0) {
           continue; // all first: what they have to say can wait until the socket is closed
         }
-      } catch (Exception e) { // out of descriptors: those that wait are reset, those that were taken are served
+      } catch (
+          Exception e) { // out of descriptors: those that wait are reset, those that were taken are
+        // served
         pipeline().fireExceptionCaught(e);
       }
       close();
@@ -81,16 +84,22 @@
   }
 
   /**
-   * Takes in what waits at a port and closes its listener: what comes later goes to the other process that listens
-   * there. The connections stay, unlike with the library's close of a server. Done once all that waited is taken in.
+   * Takes in what waits at a port and closes its listener: what comes later goes to the other
+   * process that listens there. The connections stay, unlike with the library's close of a server.
+   * Done once all that waited is taken in.
    */
   Future<Void> stopListening(int port) {
-    return Future.join(listeners.stream().filter(l -> l.localAddress() != null && l.localAddress().getPort() == port)
-        .map(Listener::leave).toList()).mapEmpty();
+    return Future.join(
+            listeners.stream()
+                .filter(l -> l.localAddress() != null && l.localAddress().getPort() == port)
+                .map(Listener::leave)
+                .toList())
+        .mapEmpty();
   }
 
   @Override
-  public synchronized EventLoopGroup eventLoopGroup(int type, int threads, ThreadFactory factory, int ioRatio) {
+  public synchronized EventLoopGroup eventLoopGroup(
+      int type, int threads, ThreadFactory factory, int ioRatio) {
     if (loop == null) {
       loop = super.eventLoopGroup(IO_EVENT_LOOP_GROUP, 1, factory, ioRatio);
     }
--- a/src/main/java/umberrun/admission/Account.java
+++ b/src/main/java/umberrun/admission/Account.java
@@ -3,10 +3,19 @@
 import java.util.EnumMap;
 import java.util.Map;
 
-/** Every connection that this process holds, by what it is for, within the descriptors that it may use. Free of I/O. */
+/**
+ * Every connection that this process holds, by what it is for, within the descriptors that it may
+ * use. Free of I/O.
+ */
 public final class Account {
   /** What connections are for. */
-  public enum Use { CLIENTS, INVOKE, LINKS, DOOR, PEERS }
+  public enum Use {
+    CLIENTS,
+    INVOKE,
+    LINKS,
+    DOOR,
+    PEERS
+  }
 
   /** Too few descriptors for what is switched on; the message is one plain line. */
   public static final class TooFew extends Exception {
@@ -17,16 +26,32 @@
     }
   }
 
-  /** Files, the change log, the loop's own, and connections that are closed but not yet let go of. */
+  /**
+   * Files, the change log, the loop's own, and connections that are closed but not yet let go of.
+   */
   private static final int HEADROOM = 40;
+
   /** Of the descriptors, what the invoke API may use. */
   private static final int INVOKE_PART = 8;
-  /** Of the descriptors less the headroom, what worker links may use: clients hold a third of all at the most. */
+
+  /**
+   * Of the descriptors less the headroom, what worker links may use: clients hold a third of all at
+   * the most.
+   */
   private static final int LINKS_PART = 3;
-  /** Kept for operators, whatever the clients do: callers may hold a connection for seconds without a whole call. */
+
+  /**
+   * Kept for operators, whatever the clients do: callers may hold a connection for seconds without
+   * a whole call.
+   */
   private static final int DOOR = 16;
-  /** Other front ends that ask this one, and those that it asks, for each part that speaks with them. */
+
+  /**
+   * Other front ends that ask this one, and those that it asks, for each part that speaks with
+   * them.
+   */
   private static final int PEERS = 12;
+
   private static final int LEAST_CLIENTS = 8;
 
   private final Map<Use, Integer> shares = new EnumMap<>(Use.class);
@@ -34,7 +59,8 @@
   private int processes = 1;
 
   /**
-   * An account of so many descriptors, of which each thing that is switched on has its share and clients all else.
+   * An account of so many descriptors, of which each thing that is switched on has its share and
+   * clients all else.
    *
    * @param peers parts by which this one speaks with other front ends
    */
@@ -46,8 +72,16 @@
     int others = shares.values().stream().mapToInt(i -> i).sum();
     int clients = descriptors - HEADROOM - others;
     if (clients < LEAST_CLIENTS) {
-      throw new TooFew("limits.sockets of " + descriptors + " is too few: " + others + " are kept for workers and what is "
-          + "switched on, " + HEADROOM + " as headroom, and clients need " + LEAST_CLIENTS);
+      throw new TooFew(
+          "limits.sockets of "
+              + descriptors
+              + " is too few: "
+              + others
+              + " are kept for workers and what is "
+              + "switched on, "
+              + HEADROOM
+              + " as headroom, and clients need "
+              + LEAST_CLIENTS);
     }
     shares.put(Use.CLIENTS, clients);
     for (Use use : Use.values()) {
@@ -57,7 +91,10 @@
 
   /** How many connections may be held for something by now. */
   public int most(Use use) {
-    return shares.get(use) / (use == Use.DOOR ? 1 : processes); // each process has a door of its own, and both are needed
+    return shares.get(use)
+        / (use == Use.DOOR
+            ? 1
+            : processes); // each process has a door of its own, and both are needed
   }
 
   public int held(Use use) {
@@ -86,7 +123,10 @@
     return processes;
   }
 
-  /** So many processes of this front end live, and share its limits. What is held beyond a share stays until it closes. */
+  /**
+   * So many processes of this front end live, and share its limits. What is held beyond a share
+   * stays until it closes.
+   */
   public void shareAmong(int processes) {
     this.processes = processes;
   }
--- a/src/main/java/umberrun/admission/Budget.java
+++ b/src/main/java/umberrun/admission/Budget.java
@@ -16,7 +16,10 @@
     this.at = now;
   }
 
-  /** Takes so many bytes if they are there; else nothing, and how many microseconds it is until they are. */
+  /**
+   * Takes so many bytes if they are there; else nothing, and how many microseconds it is until they
+   * are.
+   */
   public long take(double bytes, long now) {
     left = Math.min(most, left + perSecond * (now - at) / SECOND);
     at = now;
--- a/src/main/java/umberrun/agreement/Founding.java
+++ b/src/main/java/umberrun/agreement/Founding.java
@@ -9,8 +9,9 @@
 import umberrun.agreement.Message.SeatIs;
 
 /**
- * Founds the first set of voters: all that are named must answer, name the same, and none may have voted before, since a majority
- * of those with a memory may live behind a cut. Free of I/O, threads and clocks. Begun twice it comes to the same set.
+ * Founds the first set of voters: all that are named must answer, name the same, and none may have
+ * voted before, since a majority of those with a memory may live behind a cut. Free of I/O, threads
+ * and clocks. Begun twice it comes to the same set.
  */
 public final class Founding {
   /** What it wants done. */
@@ -24,7 +25,12 @@
     void done(Voters founded, String fault);
   }
 
-  private enum Phase { ASKING, MAKING, INSTALLING, OVER }
+  private enum Phase {
+    ASKING,
+    MAKING,
+    INSTALLING,
+    OVER
+  }
 
   private static final long AGAIN = 200_000;
 
@@ -49,8 +55,11 @@
   private void again(long now) {
     for (String name : names) {
       if (!said.containsKey(name)) {
-        out.send(name, phase == Phase.INSTALLING ? new Install(op, first) : new AskSeat(op, phase == Phase.MAKING,
-            Voters.UNKNOWN, names));
+        out.send(
+            name,
+            phase == Phase.INSTALLING
+                ? new Install(op, first)
+                : new AskSeat(op, phase == Phase.MAKING, Voters.UNKNOWN, names));
       }
     }
     out.wake(Math.min(until, now + AGAIN));
--- a/src/main/java/umberrun/agreement/Proposer.java
+++ b/src/main/java/umberrun/agreement/Proposer.java
@@ -16,8 +16,8 @@
 import umberrun.agreement.Message.Refused;
 
 /**
- * Carries out changes of registers, one at a time, with a majority of the voters (a proposer of CASPaxos). Free of I/O, threads
- * and clocks; times are in microseconds of the own steady clock.
+ * Carries out changes of registers, one at a time, with a majority of the voters (a proposer of
+ * CASPaxos). Free of I/O, threads and clocks; times are in microseconds of the own steady clock.
  */
 public final class Proposer {
   /** What becomes of a register. Called once a try, with what the register holds then. */
@@ -33,13 +33,18 @@
     /** Starts the one wait of the proposer, in the place of the one before. */
     void retry(long at);
 
-    /** A change is over: what the register held then, or null where it is not known whether it was done. */
+    /**
+     * A change is over: what the register held then, or null where it is not known whether it was
+     * done.
+     */
     void done(Value value);
   }
 
   private static final long FIRST_BACKOFF = 10_000;
+
   /** For so long a look waits for further voters where those that answered differ. */
   private static final long LOOK_ON = 25_000;
+
   private static final long LAST_BACKOFF = 320_000;
 
   private final String name;
@@ -53,23 +58,31 @@
   private Change change;
   private long until;
   private long backoff;
+
   /** For the answers to the next try: twice as long after each that brought no majority. */
   private long wait;
+
   /** Those that said yes in this phase; the newest of what they had accepted. */
   private final Set<String> yes = new HashSet<>();
+
   private Ballot newest;
   private Value value;
   private boolean looking;
+
   /** How many have accepted the same last. */
   private final Map<Ballot, Integer> looked = new TreeMap<>();
+
   private boolean accepting;
   private boolean waits;
 
   /**
-   * @param name its own, among all that propose; another with each start, as rounds are not remembered
-   * @param patience for the answers to the first try of a change; longer for the next ones, as a link may be slower than that
+   * @param name its own, among all that propose; another with each start, as rounds are not
+   *     remembered
+   * @param patience for the answers to the first try of a change; longer for the next ones, as a
+   *     link may be slower than that
    */
-  public Proposer(String name, List<String> voters, long patience, RandomGenerator random, Outbox out) {
+  public Proposer(
+      String name, List<String> voters, long patience, RandomGenerator random, Outbox out) {
     this.name = name;
     this.voters = voters;
     this.patience = patience;
@@ -98,9 +111,9 @@
   }
 
   /**
-   * Begins a read. Where a majority has accepted the same last, that was chosen, and nothing later was before the read began, as that
-   * would need one of that majority: so it is linearizable without disturbing anybody's change. Else it goes on as a change that
-   * changes nothing.
+   * Begins a read. Where a majority has accepted the same last, that was chosen, and nothing later
+   * was before the read began, as that would need one of that majority: so it is linearizable
+   * without disturbing anybody's change. Else it goes on as a change that changes nothing.
    */
   public void read(long now, String register, long until) {
     begin(register, v -> v, until);
@@ -145,19 +158,29 @@
       return; // to a try that is over
     }
     if (m instanceof Looked l && yes.add(voter)) {
-      round = Math.max(round, l.accepted().round()); // else the first try of who only looked would be refused
+      round =
+          Math.max(
+              round,
+              l.accepted().round()); // else the first try of who only looked would be refused
       if (looked.merge(l.accepted(), 1, Integer::sum) > voters.size() / 2) {
         end(l.value());
       } else if (yes.size() == voters.size()) {
         attempt(now);
       } else if (isMajority()) {
-        out.retry(Math.min(until, now + LOOK_ON)); // a change is under way, which both phases would disturb
+        out.retry(
+            Math.min(
+                until, now + LOOK_ON)); // a change is under way, which both phases would disturb
       }
     } else if (m instanceof Refused r) {
       round = Math.max(round, r.promised().round());
       waits = true;
       backoff = Math.min(LAST_BACKOFF, 2 * backoff);
-      out.retry(Math.min(until, now + (long) (backoff * random.nextDouble()))); // so that two that meet do not meet again
+      out.retry(
+          Math.min(
+              until,
+              now
+                  + (long)
+                      (backoff * random.nextDouble()))); // so that two that meet do not meet again
     } else if (m instanceof Promised p && yes.add(voter)) {
       if (p.accepted().compareTo(newest) > 0) {
         newest = p.accepted();
@@ -181,11 +204,19 @@
 
   /** Whether a question or an answer belongs to the phase that it is in. */
   public boolean isOf(Message m) {
-    return m.op() == op && (m instanceof Refused || (looking ? m instanceof Look || m instanceof Looked
-        : accepting ? m instanceof Accept || m instanceof Accepted : m instanceof Prepare || m instanceof Promised));
+    return m.op() == op
+        && (m instanceof Refused
+            || (looking
+                ? m instanceof Look || m instanceof Looked
+                : accepting
+                    ? m instanceof Accept || m instanceof Accepted
+                    : m instanceof Prepare || m instanceof Promised));
   }
 
-  /** Goes on where another of the same name is, for explorers; {@code same} is its change as this one is to make it. */
+  /**
+   * Goes on where another of the same name is, for explorers; {@code same} is its change as this
+   * one is to make it.
+   */
   public void copyFrom(Proposer o, UnaryOperator<Change> same) {
     round = o.round;
     op = o.op;
@@ -203,9 +234,13 @@
     waits = o.waits;
   }
 
-  /** All that decides what it does next but for who has said yes and how its tries are numbered, by which explorers tell states apart. */
+  /**
+   * All that decides what it does next but for who has said yes and how its tries are numbered, by
+   * which explorers tell states apart.
+   */
   public String state() {
-    return round + " " + wait + " " + isBusy() + " " + looking + looked + accepting + waits + " " + newest + " " + value;
+    return round + " " + wait + " " + isBusy() + " " + looking + looked + accepting + waits + " "
+        + newest + " " + value;
   }
 
   /** Whether a voter has said yes in this phase. */
--- a/src/main/java/umberrun/agreement/Seat.java
+++ b/src/main/java/umberrun/agreement/Seat.java
@@ -13,8 +13,9 @@
 import umberrun.agreement.Voter.Step;
 
 /**
- * A voter's place in the sets that follow each other: answers what is asked in the epoch that it has taken, says the newer set
- * to what is older, and wants to be told of the set first by what is newer. Free of I/O, as the voter is.
+ * A voter's place in the sets that follow each other: answers what is asked in the epoch that it
+ * has taken, says the newer set to what is older, and wants to be told of the set first by what is
+ * newer. Free of I/O, as the voter is.
  */
 public class Seat {
   /** Where a folder keeps the set that was taken last; no register can have this name. */
@@ -53,18 +54,23 @@
   }
 
   /**
-   * Whether what was promised here must not be forgotten, so that the name can't get another folder: it votes by the set that
-   * whoever asks for it knows, or that set is older than the one taken here. (A folder that was never told of a set is
-   * kept and used: the set that names it may be written already.)
+   * Whether what was promised here must not be forgotten, so that the name can't get another
+   * folder: it votes by the set that whoever asks for it knows, or that set is older than the one
+   * taken here. (A folder that was never told of a set is kept and used: the set that names it may
+   * be written already.)
    */
   public boolean holdsOn(String key, Voters asOf) {
     return asOf.keys().contains(key) || asOf.epoch() < taken.epoch();
   }
 
-  /** Answers a question of an epoch; as with {@link Voter#handle}, what the step holds is synced before the answer leaves. */
+  /**
+   * Answers a question of an epoch; as with {@link Voter#handle}, what the step holds is synced
+   * before the answer leaves.
+   */
   public Step handle(long epoch, Message m) {
     if (m instanceof Install i) {
-      if (i.voters().epoch() < taken.epoch() || i.voters().epoch() == taken.epoch() && !i.voters().equals(taken)) {
+      if (i.voters().epoch() < taken.epoch()
+          || i.voters().epoch() == taken.epoch() && !i.voters().equals(taken)) {
         return outdated(m);
       }
       boolean news = i.voters().epoch() > taken.epoch();
@@ -83,7 +89,10 @@
     return voter.handle(m);
   }
 
-  /** Whether a question comes from a set that was replaced; guards against majorities of sets that do not meet. */
+  /**
+   * Whether a question comes from a set that was replaced; guards against majorities of sets that
+   * do not meet.
+   */
   protected boolean isOld(long epoch) {
     return epoch < taken.epoch();
   }
--- a/src/main/java/umberrun/agreement/Succession.java
+++ b/src/main/java/umberrun/agreement/Succession.java
@@ -13,9 +13,10 @@
 import umberrun.agreement.Message.Outdated;
 
 /**
- * Replaces one voter by another while all goes on, or goes on with a replacement that somebody began. Free of I/O, threads and
- * clocks. It goes round: read which set stands in the register; have majorities of that set and of the one before it take it;
- * then either it is what is wanted, or the next set is written. The argument is in {@code docs/leases.md}.
+ * Replaces one voter by another while all goes on, or goes on with a replacement that somebody
+ * began. Free of I/O, threads and clocks. It goes round: read which set stands in the register;
+ * have majorities of that set and of the one before it take it; then either it is what is wanted,
+ * or the next set is written. The argument is in {@code docs/leases.md}.
  */
 public class Succession {
   /** What it wants done. */
@@ -35,7 +36,14 @@
     void done(String fault);
   }
 
-  private enum Phase { READING, INSTALLING, LISTING, CARRYING, WRITING, OVER }
+  private enum Phase {
+    READING,
+    INSTALLING,
+    LISTING,
+    CARRYING,
+    WRITING,
+    OVER
+  }
 
   private static final long AGAIN = 200_000;
   private static final long PATIENCE = 3_000_000;
@@ -73,7 +81,10 @@
   private void read(long now) {
     phase = Phase.READING;
     Voters begun = known;
-    out.propose(Voters.REGISTER, v -> v.text().isEmpty() ? v.next(begun.text()) : v, Math.min(until, now + PATIENCE));
+    out.propose(
+        Voters.REGISTER,
+        v -> v.text().isEmpty() ? v.next(begun.text()) : v,
+        Math.min(until, now + PATIENCE));
   }
 
   /** A change of a register is over: what it held then, or null where that is not known. */
@@ -102,7 +113,7 @@
         carry(now);
       }
       case WRITING -> read(now); // whoever has written: what stands there is gone on with
-      default -> { }
+      default -> {}
     }
   }
 
@@ -118,7 +129,8 @@
     Set<String> all = new TreeSet<>(known.keys());
     all.addAll(phase == Phase.INSTALLING ? known.former() : List.of());
     all.removeAll(said);
-    all.forEach(k -> out.send(k, phase == Phase.INSTALLING ? new Install(op, known) : new ListNames(op)));
+    all.forEach(
+        k -> out.send(k, phase == Phase.INSTALLING ? new Install(op, known) : new ListNames(op)));
     out.wake(Math.min(until, now + AGAIN));
   }
 
@@ -129,7 +141,10 @@
     }
     if (m instanceof Outdated) {
       read(now);
-    } else if (phase == Phase.INSTALLING && m instanceof Installed && said.add(voter) && isInstalled()) {
+    } else if (phase == Phase.INSTALLING
+        && m instanceof Installed
+        && said.add(voter)
+        && isInstalled()) {
       out.adopt(known);
       if (known.isOnTheWay() && carriesOver()) {
         ask(now, Phase.LISTING);
@@ -154,7 +169,8 @@
 
   /** Guards against majorities of the set before, which need not meet those of the next one. */
   private boolean isInstalled() {
-    return Voters.isMajority(said, known.keys()) && (known.former().isEmpty() || Voters.isMajority(said, known.former()));
+    return Voters.isMajority(said, known.keys())
+        && (known.former().isEmpty() || Voters.isMajority(said, known.former()));
   }
 
   /** The set that follows: tests put in one that swaps two at once. */
@@ -167,7 +183,10 @@
     return true;
   }
 
-  /** Writes each register as it is, by a majority of the set on the way: one of those is in each majority of the next set. */
+  /**
+   * Writes each register as it is, by a majority of the set on the way: one of those is in each
+   * majority of the next set.
+   */
   private void carry(long now) {
     String next = toCarry.peek();
     if (next == null) {
@@ -180,14 +199,21 @@
   private void write(long now, Voters next) {
     phase = Phase.WRITING;
     long mine = version;
-    out.propose(Voters.REGISTER, v -> v.version() == mine ? v.next(next.text()) : v, Math.min(until, now + PATIENCE));
+    out.propose(
+        Voters.REGISTER,
+        v -> v.version() == mine ? v.next(next.text()) : v,
+        Math.min(until, now + PATIENCE));
   }
 
   /** Its wait is over. */
   public void due(long now) {
     if (phase == Phase.INSTALLING || phase == Phase.LISTING) {
       if (now >= until) {
-        end("not enough of " + known.keys() + (known.former().isEmpty() ? "" : " and " + known.former()) + " answer");
+        end(
+            "not enough of "
+                + known.keys()
+                + (known.former().isEmpty() ? "" : " and " + known.former())
+                + " answer");
       } else {
         again(now);
       }
--- a/src/main/java/umberrun/agreement/Value.java
+++ b/src/main/java/umberrun/agreement/Value.java
@@ -5,12 +5,14 @@
 /** What a register holds: each change that changes something has the next version. */
 public record Value(long version, String text) {
   public static final Value NONE = new Value(0, "");
+
   /** Bytes of a text at the most. */
   public static final int MOST_BYTES = 64 << 10;
 
   /** Whether a voter takes it. */
   public boolean isShort() {
-    return text.length() <= MOST_BYTES && text.getBytes(StandardCharsets.UTF_8).length <= MOST_BYTES;
+    return text.length() <= MOST_BYTES
+        && text.getBytes(StandardCharsets.UTF_8).length <= MOST_BYTES;
   }
 
   /** The value that follows with another text. */
--- a/src/main/java/umberrun/agreement/Voter.java
+++ b/src/main/java/umberrun/agreement/Voter.java
@@ -12,8 +12,9 @@
 import umberrun.agreement.Message.Refused;
 
 /**
- * One voter's memory of all registers (an acceptor of CASPaxos). Free of I/O: whoever carries it writes what {@link #handle}
- * changed, and syncs, <em>before</em> the answer leaves; after a crash it begins with what was synced.
+ * One voter's memory of all registers (an acceptor of CASPaxos). Free of I/O: whoever carries it
+ * writes what {@link #handle} changed, and syncs, <em>before</em> the answer leaves; after a crash
+ * it begins with what was synced.
  */
 public class Voter {
   /** What is remembered of a register. */
@@ -26,8 +27,11 @@
     }
   }
 
-  /** An answer, and what must be on disk, with all before it, before it leaves; {@code slot} null where nothing has changed. */
-  public record Step(Message answer, String register, Slot slot) { }
+  /**
+   * An answer, and what must be on disk, with all before it, before it leaves; {@code slot} null
+   * where nothing has changed.
+   */
+  public record Step(Message answer, String register, Slot slot) {}
 
   private final Map<String, Slot> slots;
   private final int most;
@@ -52,7 +56,10 @@
       if (p.ballot().compareTo(s.promised) <= 0) {
         return new Step(new Refused(p.op(), s.promised), p.register(), null);
       }
-      return store(p.register(), new Slot(p.ballot(), s.accepted, s.value), new Promised(p.op(), s.accepted, s.value));
+      return store(
+          p.register(),
+          new Slot(p.ballot(), s.accepted, s.value),
+          new Promised(p.op(), s.accepted, s.value));
     }
     if (m instanceof Accept a && a.value().isShort()) {
       Slot s = slots.getOrDefault(a.register(), Slot.NONE);
--- a/src/main/java/umberrun/agreement/Voters.java
+++ b/src/main/java/umberrun/agreement/Voters.java
@@ -10,11 +10,13 @@
  *
  * @param epoch 0 where it is not known yet who votes
  * @param keys {@code name#folder id}: a name with another folder is another voter
- * @param leaving the key that goes with the next set, or empty: such a set is on the way from one to another
+ * @param leaving the key that goes with the next set, or empty: such a set is on the way from one
+ *     to another
  * @param former the keys of the set before
  */
 public record Voters(long epoch, List<String> keys, String leaving, List<String> former) {
   public static final Voters UNKNOWN = new Voters(0, List.of(), "", List.of());
+
   /** The register in which the newest set stands. */
   public static final String REGISTER = "~voters";
 
@@ -31,7 +33,10 @@
 
   /** The key of a name among those that vote, or null. */
   public String keyOf(String name) {
-    return keys.stream().filter(k -> nameOf(k).equals(name) && !k.equals(leaving)).findFirst().orElse(null);
+    return keys.stream()
+        .filter(k -> nameOf(k).equals(name) && !k.equals(leaving))
+        .findFirst()
+        .orElse(null);
   }
 
   /** The set on the way in which a newcomer votes beside all, and one of them is about to leave. */
@@ -55,7 +60,13 @@
   }
 
   public String text() {
-    return epoch + " " + join(keys) + " " + (leaving.isEmpty() ? NONE : leaving) + " " + join(former);
+    return epoch
+        + " "
+        + join(keys)
+        + " "
+        + (leaving.isEmpty() ? NONE : leaving)
+        + " "
+        + join(former);
   }
 
   /** Reads what {@link #text} wrote; unknown where it is empty. */
@@ -67,8 +78,15 @@
     if (parts.length != 4) {
       throw new IllegalArgumentException("no set of voters: '" + text + "'");
     }
-    Voters v = new Voters(Long.parseLong(parts[0]), split(parts[1]), parts[2].equals(NONE) ? "" : parts[2], split(parts[3]));
-    if (!v.keys.stream().allMatch(Voters::isKey) || !v.former.stream().allMatch(Voters::isKey) || !v.leaving.isEmpty() && !isKey(v.leaving)) {
+    Voters v =
+        new Voters(
+            Long.parseLong(parts[0]),
+            split(parts[1]),
+            parts[2].equals(NONE) ? "" : parts[2],
+            split(parts[3]));
+    if (!v.keys.stream().allMatch(Voters::isKey)
+        || !v.former.stream().allMatch(Voters::isKey)
+        || !v.leaving.isEmpty() && !isKey(v.leaving)) {
       throw new IllegalArgumentException("no keys of voters: '" + text + "'");
     }
     return v;
--- a/src/main/java/umberrun/agreement/disk/VoterFolder.java
+++ b/src/main/java/umberrun/agreement/disk/VoterFolder.java
@@ -21,9 +21,10 @@
 import umberrun.agreement.Voter.Step;
 
 /**
- * A voter's memory on disk: a store that cuts off a torn tail by its checksums, and beside it a seal, which says up to where the
- * store was synced when answers left. A store that is behind its seal has lost what was promised, and its voter never votes
- * on it. All calls block, and belong beside the event loop.
+ * A voter's memory on disk: a store that cuts off a torn tail by its checksums, and beside it a
+ * seal, which says up to where the store was synced when answers left. A store that is behind its
+ * seal has lost what was promised, and its voter never votes on it. All calls block, and belong
+ * beside the event loop.
  */
 public final class VoterFolder implements AutoCloseable {
   /** A folder that can't be voted on; the message says why in one plain line. */
@@ -79,7 +80,10 @@
     return Files.exists(folder.resolve(STORE)) || Files.exists(folder.resolve(SEAL));
   }
 
-  /** Puts a memory that can't be voted on out of the way, for one that is made anew; nothing is deleted. */
+  /**
+   * Puts a memory that can't be voted on out of the way, for one that is made anew; nothing is
+   * deleted.
+   */
   public static void setAside(Path folder) throws IOException {
     for (String name : List.of(STORE, SEAL)) {
       Path file = folder.resolve(name);
@@ -92,7 +96,10 @@
     }
   }
 
-  /** Opens what a voter has promised; {@code owner} is its fleet's and its name, behind which its folder's id may stand. */
+  /**
+   * Opens what a voter has promised; {@code owner} is its fleet's and its name, behind which its
+   * folder's id may stand.
+   */
   public static VoterFolder open(Path folder, String owner) throws Unfit {
     if (!Files.exists(folder.resolve(STORE)) || !Files.exists(folder.resolve(SEAL))) {
       throw new Unfit(folder + " has no voter's memory: it is lost, or was never made");
@@ -125,7 +132,8 @@
   }
 
   private static FileChannel locked(Path folder) throws IOException, Unfit {
-    FileChannel c = FileChannel.open(folder.resolve(LOCK), StandardOpenOption.CREATE, StandardOpenOption.WRITE);
+    FileChannel c =
+        FileChannel.open(folder.resolve(LOCK), StandardOpenOption.CREATE, StandardOpenOption.WRITE);
     try {
       FileLock held = c.tryLock();
       if (held != null) {
@@ -140,8 +148,14 @@
 
   private static MVStore open(Path folder) {
     // Nothing is written behind our back: a commit is ours to make and to sync.
-    MVStore store = new MVStore.Builder().fileName(folder.resolve(STORE).toString()).autoCommitDisabled().cacheSize(CACHE_MB).open();
-    // Each commit is synced before the next is written, so that the space of the one before can be used again at once:
+    MVStore store =
+        new MVStore.Builder()
+            .fileName(folder.resolve(STORE).toString())
+            .autoCommitDisabled()
+            .cacheSize(CACHE_MB)
+            .open();
+    // Each commit is synced before the next is written, so that the space of the one before can be
+    // used again at once:
     // else the file grew by 5 KiB a vote for 45 s, and by that much for ever.
     store.setRetentionTime(0);
     store.setVersionsToKeep(0);
@@ -149,14 +163,20 @@
   }
 
   private static FileChannel sealOf(Path folder, boolean create) throws IOException {
-    return create ? FileChannel.open(folder.resolve(SEAL), StandardOpenOption.CREATE_NEW, StandardOpenOption.READ,
-        StandardOpenOption.WRITE) : FileChannel.open(folder.resolve(SEAL), StandardOpenOption.READ, StandardOpenOption.WRITE);
+    return create
+        ? FileChannel.open(
+            folder.resolve(SEAL),
+            StandardOpenOption.CREATE_NEW,
+            StandardOpenOption.READ,
+            StandardOpenOption.WRITE)
+        : FileChannel.open(folder.resolve(SEAL), StandardOpenOption.READ, StandardOpenOption.WRITE);
   }
 
   private void check(Path folder, String owner) throws IOException, Unfit {
     String of = head.get(OWNER);
     if (of == null || !of.equals(owner) && !of.startsWith(owner + "#")) {
-      throw new Unfit(folder + " is the memory of " + (of == null ? "nobody" : of) + ", not of " + owner);
+      throw new Unfit(
+          folder + " is the memory of " + (of == null ? "nobody" : of) + ", not of " + owner);
     }
     count = Long.parseLong(head.get(COUNT));
     ByteBuffer b = ByteBuffer.allocate(SEAL_BYTES);
@@ -165,7 +185,12 @@
       throw new Unfit(folder + " has a seal that is torn");
     }
     if (count < b.getLong(0)) {
-      throw new Unfit(folder + " has lost what was promised: it ends at " + count + ", its seal says " + b.getLong(0));
+      throw new Unfit(
+          folder
+              + " has lost what was promised: it ends at "
+              + count
+              + ", its seal says "
+              + b.getLong(0));
     }
     slots(); // what can't be read is found now, not when it is asked for
   }
@@ -188,7 +213,10 @@
     return all;
   }
 
-  /** Writes what some steps have changed, in one sync; their answers may leave once this returns. Fails for good. */
+  /**
+   * Writes what some steps have changed, in one sync; their answers may leave once this returns.
+   * Fails for good.
+   */
   public void write(List<Step> steps) throws IOException {
     if (failed) {
       throw new IOException("an earlier write has failed");
@@ -219,15 +247,27 @@
   }
 
   private static String text(Slot s) {
-    return s.promised().round() + " " + s.accepted().round() + " " + s.value().version() + " " + s.promised().proposer().length()
-        + " " + s.accepted().proposer().length() + " " + s.promised().proposer() + s.accepted().proposer() + s.value().text();
+    return s.promised().round()
+        + " "
+        + s.accepted().round()
+        + " "
+        + s.value().version()
+        + " "
+        + s.promised().proposer().length()
+        + " "
+        + s.accepted().proposer().length()
+        + " "
+        + s.promised().proposer()
+        + s.accepted().proposer()
+        + s.value().text();
   }
 
   private static Slot read(String text) {
     String[] parts = text.split(" ", 6);
     int first = Integer.parseInt(parts[3]);
     int second = first + Integer.parseInt(parts[4]);
-    return new Slot(new Ballot(Long.parseLong(parts[0]), parts[5].substring(0, first)),
+    return new Slot(
+        new Ballot(Long.parseLong(parts[0]), parts[5].substring(0, first)),
         new Ballot(Long.parseLong(parts[1]), parts[5].substring(first, second)),
         new Value(Long.parseLong(parts[2]), parts[5].substring(second)));
   }
--- a/src/main/java/umberrun/agreement/net/Registers.java
+++ b/src/main/java/umberrun/agreement/net/Registers.java
@@ -25,8 +25,9 @@
 import umberrun.stats.Counters;
 
 /**
- * The agreed registers in a front end: its voter where it is one, what asks for changes, and the commands that found and
- * replace voters. Carries the state machines of {@code umberrun.agreement} on the one loop; what it sends goes by name.
+ * The agreed registers in a front end: its voter where it is one, what asks for changes, and the
+ * commands that found and replace voters. Carries the state machines of {@code umberrun.agreement}
+ * on the one loop; what it sends goes by name.
  */
 public final class Registers {
   /** How bytes get to a front end, or not. */
@@ -44,14 +45,19 @@
   private static final long GO_ON_MILLIS = 10_000;
   private static final long MS = 1_000;
   private static final int MOST_WAITING = 256;
+
   /** Who asks, beside the ways. */
   private static final int FINDER = -1;
+
   private static final int COMMANDER = -2;
 
   /** A change (null: a read), what waits for it, and when it is given up. */
-  private record Asked(String register, Proposer.Change change, long until, Consumer<Value> then) { }
+  private record Asked(String register, Proposer.Change change, long until, Consumer<Value> then) {}
 
-  /** One proposer and what waits for it: changes of one way are in order, those of several go on side by side. */
+  /**
+   * One proposer and what waits for it: changes of one way are in order, those of several go on
+   * side by side.
+   */
   public final class Way implements Proposer.Outbox {
     private final int number;
     private final Proposer proposer;
@@ -60,7 +66,13 @@
 
     private Way(int number) {
       this.number = number;
-      this.proposer = new Proposer(name + "/" + Long.toHexString(life) + "/" + number, known.keys(), TRY_MICROS, random.split(), this);
+      this.proposer =
+          new Proposer(
+              name + "/" + Long.toHexString(life) + "/" + number,
+              known.keys(),
+              TRY_MICROS,
+              random.split(),
+              this);
     }
 
     /** Reads a register; null where no majority answered until then. */
@@ -102,7 +114,9 @@
     @Override
     public void retry(long at) {
       vertx.cancelTimer(timer);
-      timer = vertx.setTimer(Math.max(1, (at - clock.now() + MS - 1) / MS), t -> proposer.due(clock.now()));
+      timer =
+          vertx.setTimer(
+              Math.max(1, (at - clock.now() + MS - 1) / MS), t -> proposer.due(clock.now()));
     }
 
     @Override
@@ -128,8 +142,10 @@
   private Way admin;
   private long asksEvery = FIRST_ASK_MILLIS;
   private boolean over;
+
   /** What an operator has ordered, one thing at a time, and how it ended. */
   private Founding founding;
+
   private Succession succession;
   private String replacing;
   private String replaces;
@@ -137,9 +153,19 @@
   private long commandTimer = -1;
   private String lastFault;
 
-  /** @param name of this front end */
-  public Registers(Vertx vertx, Clock clock, LeaseOptions options, String fleet, String name, long life, Counters counters,
-      Consumer<String> log, Post post) {
+  /**
+   * @param name of this front end
+   */
+  public Registers(
+      Vertx vertx,
+      Clock clock,
+      LeaseOptions options,
+      String fleet,
+      String name,
+      long life,
+      Counters counters,
+      Consumer<String> log,
+      Post post) {
     this.vertx = vertx;
     this.clock = clock;
     this.options = options;
@@ -148,21 +174,29 @@
     this.log = log;
     this.post = post;
     this.random = new SplittableRandom(life);
-    this.desk = options.stateDir().isEmpty() ? null
-        : new VoterDesk(vertx, java.nio.file.Path.of(options.stateDir()), fleet + "/" + name, counters, log);
+    this.desk =
+        options.stateDir().isEmpty()
+            ? null
+            : new VoterDesk(
+                vertx,
+                java.nio.file.Path.of(options.stateDir()),
+                fleet + "/" + name,
+                counters,
+                log);
     this.admin = way();
   }
 
   /** Opens the folder, where there is one, and begins to look for who votes. */
   public Future<Void> open() {
     Future<Void> opened = desk == null ? Future.succeededFuture() : desk.open();
-    return opened.onComplete(v -> {
-      if (desk != null) {
-        adopt(desk.taken());
-      }
-      look();
-      goOn();
-    });
+    return opened.onComplete(
+        v -> {
+          if (desk != null) {
+            adopt(desk.taken());
+          }
+          look();
+          goOn();
+        });
   }
 
   /** A further way. */
@@ -191,7 +225,10 @@
     asked.addAll(post.some());
     for (String other : asked) {
       if (!other.equals(name)) {
-        send(other, new Envelope(false, 0, "", life, FINDER, new AskSeat(0, false, Voters.UNKNOWN, List.of())));
+        send(
+            other,
+            new Envelope(
+                false, 0, "", life, FINDER, new AskSeat(0, false, Voters.UNKNOWN, List.of())));
       }
     }
     vertx.setTimer(asksEvery / 2 + random.nextLong(asksEvery), t -> look());
@@ -201,21 +238,28 @@
   /** A replacement whose command died is gone on with by whoever votes and sees it for a while. */
   private void goOn() {
     long seen = known.epoch();
-    vertx.setTimer(GO_ON_MILLIS / 2 + random.nextLong(GO_ON_MILLIS), t -> {
-      if (!over) {
-        if (!known.leaving().isEmpty() && known.epoch() == seen && votes() && !isBusy()) {
-          log.accept("leases: goes on with the replacement of " + known.leaving());
-          replace("", "");
-        }
-        goOn();
-      }
-    });
+    vertx.setTimer(
+        GO_ON_MILLIS / 2 + random.nextLong(GO_ON_MILLIS),
+        t -> {
+          if (!over) {
+            if (!known.leaving().isEmpty() && known.epoch() == seen && votes() && !isBusy()) {
+              log.accept("leases: goes on with the replacement of " + known.leaving());
+              replace("", "");
+            }
+            goOn();
+          }
+        });
   }
 
   private void adopt(Voters v) {
     if (v.epoch() > known.epoch()) {
       known = v;
-      log.accept("leases: voters are " + v.keys() + ", epoch " + v.epoch() + (v.leaving().isEmpty() ? "" : ", leaving " + v.leaving()));
+      log.accept(
+          "leases: voters are "
+              + v.keys()
+              + ", epoch "
+              + v.epoch()
+              + (v.leaving().isEmpty() ? "" : ", leaving " + v.leaving()));
       long now = clock.now();
       ways.forEach(w -> w.proposer.voters(now, v.keys()));
     }
@@ -239,7 +283,10 @@
     }
   }
 
-  /** Takes in what a front end sent; fails with {@link IllegalArgumentException} where it can't be read. */
+  /**
+   * Takes in what a front end sent; fails with {@link IllegalArgumentException} where it can't be
+   * read.
+   */
   public void receive(String from, byte[] body) {
     Envelope e = Wire.read(body);
     if (over) {
@@ -252,12 +299,16 @@
     } else if (e.message() instanceof AskSeat a) {
       seat(a, s -> send(from, new Envelope(true, 0, "", e.life(), e.asker(), s)));
     } else if (desk != null) {
-      desk.ask(e.voter(), e.epoch(), e.message(), m -> {
-        if (e.message() instanceof Install) {
-          adopt(desk.taken());
-        }
-        send(from, new Envelope(true, e.epoch(), e.voter(), e.life(), e.asker(), m));
-      });
+      desk.ask(
+          e.voter(),
+          e.epoch(),
+          e.message(),
+          m -> {
+            if (e.message() instanceof Install) {
+              adopt(desk.taken());
+            }
+            send(from, new Envelope(true, e.epoch(), e.voter(), e.life(), e.asker(), m));
+          });
     }
   }
 
@@ -289,16 +340,28 @@
       answer.accept(new SeatIs(a.op(), "", known, "its file names no state_dir"));
       return;
     }
-    boolean foreign = !a.names().isEmpty() && !a.names().equals(options.voters().stream().sorted().toList());
+    boolean foreign =
+        !a.names().isEmpty() && !a.names().equals(options.voters().stream().sorted().toList());
     boolean kept = !desk.key().isEmpty() && (desk.taken().epoch() == 0 || desk.holdsOn(a.asOf()));
     boolean damaged = !a.names().isEmpty() && desk.isDamaged(); // in a founding: it may have voted
     if (!a.make() || foreign || kept || damaged) {
-      answer.accept(new SeatIs(a.op(), desk.key(), known, foreign ? "its file names other voters" : damaged ? desk.fault()
-          : a.make() && desk.holdsOn(a.asOf()) ? "votes already as " + desk.key() : ""));
+      answer.accept(
+          new SeatIs(
+              a.op(),
+              desk.key(),
+              known,
+              foreign
+                  ? "its file names other voters"
+                  : damaged
+                      ? desk.fault()
+                      : a.make() && desk.holdsOn(a.asOf())
+                          ? "votes already as " + desk.key()
+                          : ""));
       return;
     }
     log.accept("leases: a new folder is made for the voter " + name);
-    desk.make(random.nextLong() >>> 1).onComplete(v -> answer.accept(new SeatIs(a.op(), desk.key(), known, desk.fault())));
+    desk.make(random.nextLong() >>> 1)
+        .onComplete(v -> answer.accept(new SeatIs(a.op(), desk.key(), known, desk.fault())));
   }
 
   // ---------------------------------------------------------------- what operators order
@@ -326,37 +389,45 @@
     succession = null;
     replacing = null;
     lastFault = fault;
-    log.accept("leases: " + (fault == null ? "the voters are as was wanted" : "not done: " + fault));
+    log.accept(
+        "leases: " + (fault == null ? "the voters are as was wanted" : "not done: " + fault));
   }
 
   /** Founds the first set, of those that the operator's file names. */
   public void found() {
     begin();
-    founding = new Founding(options.voters(), commandUntil, new Founding.Outbox() {
-      @Override
-      public void send(String to, Message m) {
-        String key = m instanceof Install ? founding.keyOf(to) : "";
-        Registers.this.send(to, new Envelope(false, 0, key, life, COMMANDER, m));
-      }
-
-      @Override
-      public void wake(long at) {
-        Founding self = founding;
-        Registers.this.wake(at, () -> self.due(clock.now()));
-      }
-
-      @Override
-      public void done(Voters founded, String fault) {
-        if (founded != null) {
-          adopt(founded);
-        }
-        ended(fault);
-      }
-    });
+    founding =
+        new Founding(
+            options.voters(),
+            commandUntil,
+            new Founding.Outbox() {
+              @Override
+              public void send(String to, Message m) {
+                String key = m instanceof Install ? founding.keyOf(to) : "";
+                Registers.this.send(to, new Envelope(false, 0, key, life, COMMANDER, m));
+              }
+
+              @Override
+              public void wake(long at) {
+                Founding self = founding;
+                Registers.this.wake(at, () -> self.due(clock.now()));
+              }
+
+              @Override
+              public void done(Voters founded, String fault) {
+                if (founded != null) {
+                  adopt(founded);
+                }
+                ended(fault);
+              }
+            });
     founding.start(clock.now());
   }
 
-  /** Has a front end vote in the place of another, or in its own with a new folder; empty names go on with what was begun. */
+  /**
+   * Has a front end vote in the place of another, or in its own with a new folder; empty names go
+   * on with what was begun.
+   */
   public void replace(String leaves, String comes) {
     begin();
     if (known.epoch() == 0) {
@@ -382,7 +453,10 @@
       ended(replacing + " does not answer");
       return;
     }
-    send(replacing, new Envelope(false, 0, "", life, COMMANDER, new AskSeat(commandUntil, true, known, List.of())));
+    send(
+        replacing,
+        new Envelope(
+            false, 0, "", life, COMMANDER, new AskSeat(commandUntil, true, known, List.of())));
     wake(clock.now() + TRY_MICROS, this::askNewcomer);
   }
 
@@ -401,36 +475,46 @@
 
   private void succeed(String comes, String leaves) {
     Succession[] self = new Succession[1];
-    self[0] = new Succession(known, comes, leaves, commandUntil, new Succession.Outbox() {
-      @Override
-      public void send(String voter, Message m) {
-        ask(voter, COMMANDER, m);
-      }
-
-      @Override
-      public void propose(String register, Proposer.Change change, long until) {
-        admin.change(register, change, until, v -> {
-          if (succession == self[0]) {
-            self[0].changed(clock.now(), v);
-          }
-        });
-      }
-
-      @Override
-      public void adopt(Voters v) {
-        Registers.this.adopt(v);
-      }
-
-      @Override
-      public void wake(long at) {
-        Registers.this.wake(at, () -> self[0].due(clock.now()));
-      }
-
-      @Override
-      public void done(String fault) {
-        ended(fault);
-      }
-    });
+    self[0] =
+        new Succession(
+            known,
+            comes,
+            leaves,
+            commandUntil,
+            new Succession.Outbox() {
+              @Override
+              public void send(String voter, Message m) {
+                ask(voter, COMMANDER, m);
+              }
+
+              @Override
+              public void propose(String register, Proposer.Change change, long until) {
+                admin.change(
+                    register,
+                    change,
+                    until,
+                    v -> {
+                      if (succession == self[0]) {
+                        self[0].changed(clock.now(), v);
+                      }
+                    });
+              }
+
+              @Override
+              public void adopt(Voters v) {
+                Registers.this.adopt(v);
+              }
+
+              @Override
+              public void wake(long at) {
+                Registers.this.wake(at, () -> self[0].due(clock.now()));
+              }
+
+              @Override
+              public void done(String fault) {
+                ended(fault);
+              }
+            });
     succession = self[0];
     succession.start(clock.now());
   }
--- a/src/main/java/umberrun/agreement/net/VoterDesk.java
+++ b/src/main/java/umberrun/agreement/net/VoterDesk.java
@@ -17,14 +17,16 @@
 import umberrun.stats.Counters.Count;
 
 /**
- * A voter on the one loop, its folder beside it: what is asked while a sync runs waits for the next one, so that many answers
- * share a sync. Whatever is wrong with the folder, this front end does not vote, says why, and serves calls on.
+ * A voter on the one loop, its folder beside it: what is asked while a sync runs waits for the next
+ * one, so that many answers share a sync. Whatever is wrong with the folder, this front end does
+ * not vote, says why, and serves calls on.
  */
 final class VoterDesk {
-  private record Waiting(Step step, Consumer<Message> answer) { }
+  private record Waiting(Step step, Consumer<Message> answer) {}
 
   /** Questions that wait for a sync; beyond that they are dropped, as by a poor link. */
   private static final int MOST_WAITING = 1_024;
+
   private static final int MOST_REGISTERS = 256;
 
   private final WorkerExecutor beside;
@@ -40,10 +42,16 @@
   private boolean syncs;
   private Future<Void> making;
   private boolean over;
-  /** Written beside the loop before it is read on it: something is in the folder, though it can't be voted on. */
+
+  /**
+   * Written beside the loop before it is read on it: something is in the folder, though it can't be
+   * voted on.
+   */
   private volatile boolean damaged;
 
-  /** @param owner the fleet's name and this front end's, {@code fleet/name} */
+  /**
+   * @param owner the fleet's name and this front end's, {@code fleet/name}
+   */
   VoterDesk(Vertx vertx, Path folder, String owner, Counters counters, Consumer<String> log) {
     this.beside = vertx.createSharedWorkerExecutor("voter", 1);
     this.folder = folder;
@@ -54,10 +62,14 @@
 
   /** Opens the folder; done, also where it can't be voted on. */
   Future<Void> open() {
-    return beside.executeBlocking(() -> {
-      damaged = VoterFolder.isThere(folder);
-      return VoterFolder.open(folder, owner);
-    }).map(this::begin).recover(e -> unfit(e.getMessage()));
+    return beside
+        .executeBlocking(
+            () -> {
+              damaged = VoterFolder.isThere(folder);
+              return VoterFolder.open(folder, owner);
+            })
+        .map(this::begin)
+        .recover(e -> unfit(e.getMessage()));
   }
 
   private Void begin(VoterFolder opened) {
@@ -81,18 +93,26 @@
 
   /** Makes a new folder, with what was there put aside; done once it is open. */
   Future<Void> make(long id) {
-    if (making != null) { // asked again meanwhile: a second folder would put the first aside, whose key was told
+    if (making
+        != null) { // asked again meanwhile: a second folder would put the first aside, whose key
+      // was told
       return making;
     }
     VoterFolder held = disk;
     disk = null;
     seat = null;
-    making = beside.executeBlocking(() -> {
-      close(held);
-      VoterFolder.setAside(folder);
-      VoterFolder.create(folder, owner + "#" + Long.toHexString(id));
-      return null;
-    }).compose(v -> open()).recover(e -> unfit(e.getMessage())).onComplete(v -> making = null);
+    making =
+        beside
+            .executeBlocking(
+                () -> {
+                  close(held);
+                  VoterFolder.setAside(folder);
+                  VoterFolder.create(folder, owner + "#" + Long.toHexString(id));
+                  return null;
+                })
+            .compose(v -> open())
+            .recover(e -> unfit(e.getMessage()))
+            .onComplete(v -> making = null);
     return making;
   }
 
@@ -123,7 +143,9 @@
     return seat != null && seat.holdsOn(key, asOf);
   }
 
-  /** Asks the voter under a key; its answer comes once all that it rests on is on disk, or never. */
+  /**
+   * Asks the voter under a key; its answer comes once all that it rests on is on disk, or never.
+   */
   void ask(String asked, long epoch, Message m, Consumer<Message> answer) {
     if (seat == null || !asked.equals(key) || waiting.size() >= MOST_WAITING) {
       return;
@@ -150,22 +172,27 @@
     waiting = new ArrayList<>();
     VoterFolder at = disk;
     List<Step> steps = batch.stream().map(Waiting::step).toList();
-    beside.executeBlocking(() -> {
-      at.write(steps);
-      return null;
-    }).onComplete(v -> {
-      syncs = false;
-      counters.add(Count.VOTE_SYNCS);
-      batch.forEach(w -> w.answer.accept(w.step.answer()));
-      sync();
-    }, e -> { // guards what was promised: what is on disk now is not known
-      syncs = false;
-      if (at == disk) {
-        seat = null;
-        waiting.clear();
-        unfit(e.getMessage());
-      }
-    });
+    beside
+        .executeBlocking(
+            () -> {
+              at.write(steps);
+              return null;
+            })
+        .onComplete(
+            v -> {
+              syncs = false;
+              counters.add(Count.VOTE_SYNCS);
+              batch.forEach(w -> w.answer.accept(w.step.answer()));
+              sync();
+            },
+            e -> { // guards what was promised: what is on disk now is not known
+              syncs = false;
+              if (at == disk) {
+                seat = null;
+                waiting.clear();
+                unfit(e.getMessage());
+              }
+            });
   }
 
   /** Lets go of the folder, so that a successor can have it; votes no more. */
@@ -175,10 +202,11 @@
     seat = null;
     disk = null;
     waiting.clear();
-    return beside.executeBlocking(() -> {
-      close(held);
-      return null;
-    });
+    return beside.executeBlocking(
+        () -> {
+          close(held);
+          return null;
+        });
   }
 
   private static void close(VoterFolder held) {
--- a/src/main/java/umberrun/agreement/net/Wire.java
+++ b/src/main/java/umberrun/agreement/net/Wire.java
@@ -14,7 +14,10 @@
 import umberrun.agreement.Value;
 import umberrun.agreement.Voters;
 
-/** The bytes of the agreement's messages: an array of MessagePack, to which later versions add at the end. */
+/**
+ * The bytes of the agreement's messages: an array of MessagePack, to which later versions add at
+ * the end.
+ */
 final class Wire {
   /**
    * A message on its way.
@@ -22,22 +25,42 @@
    * @param asker who in the asking process wants the answer; the process is named by {@code life}
    * @param voter the key that is asked or answers; empty for a front end's own answer
    */
-  record Envelope(boolean answer, long epoch, String voter, long life, int asker, Message message) { }
-
-  private static final List<Class<? extends Message>> KINDS = List.of(Look.class, Looked.class, Prepare.class, Promised.class,
-      Accept.class, Accepted.class, Refused.class, Install.class, Installed.class, Outdated.class, Behind.class,
-      ListNames.class, Names.class, AskSeat.class, SeatIs.class);
+  record Envelope(
+      boolean answer, long epoch, String voter, long life, int asker, Message message) {}
+
+  private static final List<Class<? extends Message>> KINDS =
+      List.of(
+          Look.class,
+          Looked.class,
+          Prepare.class,
+          Promised.class,
+          Accept.class,
+          Accepted.class,
+          Refused.class,
+          Install.class,
+          Installed.class,
+          Outdated.class,
+          Behind.class,
+          ListNames.class,
+          Names.class,
+          AskSeat.class,
+          SeatIs.class);
   private static final int FIELDS = 7;
   private static final int MOST_NAMES = 4_096;
   private static final int MOST_TEXT = 128;
   private static final int MOST_SET = 2_048;
 
-  private Wire() { }
+  private Wire() {}
 
   static byte[] write(Envelope e) {
     try (MessageBufferPacker out = MessagePack.newDefaultBufferPacker()) {
       Message m = e.message;
-      out.packArrayHeader(FIELDS).packBoolean(e.answer).packLong(e.epoch).packString(e.voter).packLong(e.life).packInt(e.asker)
+      out.packArrayHeader(FIELDS)
+          .packBoolean(e.answer)
+          .packLong(e.epoch)
+          .packString(e.voter)
+          .packLong(e.life)
+          .packInt(e.asker)
           .packInt(KINDS.indexOf(m.getClass()));
       body(out, m);
       return out.toByteArray();
@@ -114,7 +137,8 @@
     }
   }
 
-  private static Message message(MessageUnpacker in, Class<? extends Message> kind) throws IOException {
+  private static Message message(MessageUnpacker in, Class<? extends Message> kind)
+      throws IOException {
     require(in.unpackArrayHeader() == 4);
     long op = in.unpackLong();
     if (kind == Look.class) {
--- a/src/main/java/umberrun/agreement/sim/RegisterTrial.java
+++ b/src/main/java/umberrun/agreement/sim/RegisterTrial.java
@@ -21,8 +21,9 @@
 import umberrun.sim.VirtualNetwork;
 
 /**
- * Hosts that vote, append marks to registers and replace each other as voters, on the virtual network. After each change the
- * history is checked: what was done for one is seen by all that begins later.
+ * Hosts that vote, append marks to registers and replace each other as voters, on the virtual
+ * network. After each change the history is checked: what was done for one is seen by all that
+ * begins later.
  */
 public final class RegisterTrial {
   /** Makes the machines; tests put in ones that are broken on purpose. */
@@ -31,7 +32,8 @@
       return new Seat(synced, MOST_REGISTERS);
     }
 
-    default Succession succession(Voters known, String comes, String leaves, long until, Succession.Outbox out) {
+    default Succession succession(
+        Voters known, String comes, String leaves, long until, Succession.Outbox out) {
       return new Succession(known, comes, leaves, until, out);
     }
   }
@@ -56,7 +58,8 @@
 
   /** A host's proposer and what waits for it. */
   private final class Way implements Proposer.Outbox {
-    private record Asked(String register, Proposer.Change change, long until, Consumer<Value> then) { }
+    private record Asked(
+        String register, Proposer.Change change, long until, Consumer<Value> then) {}
 
     final Host host;
     final int number;
@@ -71,7 +74,13 @@
 
     void begin() {
       queue.clear();
-      proposer = new Proposer(name(host.number) + "/" + random.nextInt(1 << 30), host.known.keys(), TRY_MICROS, random.split(), this);
+      proposer =
+          new Proposer(
+              name(host.number) + "/" + random.nextInt(1 << 30),
+              host.known.keys(),
+              TRY_MICROS,
+              random.split(),
+              this);
     }
 
     /** A change of null is a read. */
@@ -102,11 +111,15 @@
         wait.cancel();
       }
       int mine = host.life;
-      wait = net.at(host.number, at, () -> {
-        if (host.life == mine) {
-          proposer.due(net.now());
-        }
-      });
+      wait =
+          net.at(
+              host.number,
+              at,
+              () -> {
+                if (host.life == mine) {
+                  proposer.due(net.now());
+                }
+              });
     }
 
     @Override
@@ -177,13 +190,16 @@
       }
       int mine = life;
       // A look shows what may not be on disk yet, and waits for it too.
-      net.at(number, net.now() + (unsynced.isEmpty() ? 0 : random.nextLong(SYNC_MICROS)), () -> {
-        if (life == mine) {
-          disk.putAll(unsynced);
-          unsynced.clear();
-          net.send(number, from.number, () -> from.hear(asked, step.answer(), way, asking));
-        }
-      });
+      net.at(
+          number,
+          net.now() + (unsynced.isEmpty() ? 0 : random.nextLong(SYNC_MICROS)),
+          () -> {
+            if (life == mine) {
+              disk.putAll(unsynced);
+              unsynced.clear();
+              net.send(number, from.number, () -> from.hear(asked, step.answer(), way, asking));
+            }
+          });
     }
 
     void hear(String voter, Message m, int way, int asking) {
@@ -211,44 +227,58 @@
 
     /** Has a voter replaced by what this host names. */
     void command(String comes, String leaves) {
-      command = maker.succession(known, comes, leaves, net.now() + COMMAND_MICROS, new Succession.Outbox() {
-        @Override
-        public void send(String voter, Message m) {
-          Host.this.send(voter, m, 2);
-        }
-
-        @Override
-        public void propose(String register, Proposer.Change change, long until) {
-          Succession self = command;
-          admin.submit(register, change, until, v -> {
-            if (self == command) {
-              self.changed(net.now(), v);
-            }
-          });
-        }
-
-        @Override
-        public void adopt(Voters v) {
-          Host.this.adopt(v);
-        }
-
-        @Override
-        public void wake(long at) {
-          int mine = life;
-          Succession self = command;
-          commandWake = net.at(number, at, () -> {
-            if (life == mine && self == command) {
-              self.due(net.now());
-            }
-          });
-        }
-
-        @Override
-        public void done(String fault) {
-          replaced += fault == null ? 1 : 0;
-          command = null;
-        }
-      });
+      command =
+          maker.succession(
+              known,
+              comes,
+              leaves,
+              net.now() + COMMAND_MICROS,
+              new Succession.Outbox() {
+                @Override
+                public void send(String voter, Message m) {
+                  Host.this.send(voter, m, 2);
+                }
+
+                @Override
+                public void propose(String register, Proposer.Change change, long until) {
+                  Succession self = command;
+                  admin.submit(
+                      register,
+                      change,
+                      until,
+                      v -> {
+                        if (self == command) {
+                          self.changed(net.now(), v);
+                        }
+                      });
+                }
+
+                @Override
+                public void adopt(Voters v) {
+                  Host.this.adopt(v);
+                }
+
+                @Override
+                public void wake(long at) {
+                  int mine = life;
+                  Succession self = command;
+                  commandWake =
+                      net.at(
+                          number,
+                          at,
+                          () -> {
+                            if (life == mine && self == command) {
+                              self.due(net.now());
+                            }
+                          });
+                }
+
+                @Override
+                public void done(String fault) {
+                  replaced += fault == null ? 1 : 0;
+                  command = null;
+                }
+              });
       command.start(net.now());
     }
   }
@@ -261,7 +291,9 @@
   private int marks;
   private int replaced;
 
-  /** @param voters of the hosts, the first ones */
+  /**
+   * @param voters of the hosts, the first ones
+   */
   public RegisterTrial(int hostCount, int voters, long seed, Maker maker) {
     this.random = new SplittableRandom(seed);
     this.net = new VirtualNetwork(hostCount, random.split());
@@ -307,48 +339,78 @@
 
   /** Each host changes and reads now and then. */
   private void work(int host) {
-    net.at(net.now() + random.nextLong(400_000), () -> {
-      Host h = hosts[host];
-      if (!net.isPaused(host) && !h.client.proposer.isBusy()) {
-        String register = REGISTERS.get(random.nextInt(REGISTERS.size()));
-        List<String> before = List.copyOf(done.get(register));
-        boolean reads = marks >= MOST_MARKS || random.nextInt(3) == 0;
-        String mark = "," + (reads ? marks : marks++) + ",";
-        Proposer.Change change = reads ? null : v -> v.text().contains(mark) ? v : v.next(v.text() + mark);
-        h.client.submit(register, change, net.now() + CHANGE_MICROS, v -> {
-          if (v != null) {
-            over(register, v.text(), before);
+    net.at(
+        net.now() + random.nextLong(400_000),
+        () -> {
+          Host h = hosts[host];
+          if (!net.isPaused(host) && !h.client.proposer.isBusy()) {
+            String register = REGISTERS.get(random.nextInt(REGISTERS.size()));
+            List<String> before = List.copyOf(done.get(register));
+            boolean reads = marks >= MOST_MARKS || random.nextInt(3) == 0;
+            String mark = "," + (reads ? marks : marks++) + ",";
+            Proposer.Change change =
+                reads ? null : v -> v.text().contains(mark) ? v : v.next(v.text() + mark);
+            h.client.submit(
+                register,
+                change,
+                net.now() + CHANGE_MICROS,
+                v -> {
+                  if (v != null) {
+                    over(register, v.text(), before);
+                  }
+                });
           }
+          work(host);
         });
-      }
-      work(host);
-    });
   }
 
   private void over(String register, String text, List<String> before) {
     for (String b : before) {
       if (!text.startsWith(b)) {
-        throw new Broken("register " + register + ": '" + b + "' was done before '" + text + "' began, at " + net.now());
+        throw new Broken(
+            "register "
+                + register
+                + ": '"
+                + b
+                + "' was done before '"
+                + text
+                + "' began, at "
+                + net.now());
       }
     }
     for (String d : done.get(register)) {
       if (!text.startsWith(d) && !d.startsWith(text)) {
-        throw new Broken("register " + register + ": both '" + d + "' and '" + text + "' were done, at " + net.now());
+        throw new Broken(
+            "register "
+                + register
+                + ": both '"
+                + d
+                + "' and '"
+                + text
+                + "' were done, at "
+                + net.now());
       }
     }
     done.get(register).add(text);
   }
 
-  /** Kills a host and starts it again at once; with {@code folderToo}, what it had on disk is lost. */
+  /**
+   * Kills a host and starts it again at once; with {@code folderToo}, what it had on disk is lost.
+   */
   public void crash(int host, boolean folderToo) {
     hosts[host].crash(folderToo);
   }
 
-  /** An operator at one host has another take a seat with a new folder, in the place of the voter of some host. */
+  /**
+   * An operator at one host has another take a seat with a new folder, in the place of the voter of
+   * some host.
+   */
   public void replace(int at, int comes, int leaves) {
     Host c = hosts[comes];
     String leaving = hosts[at].known.keyOf(name(leaves));
-    if (leaving == null || hosts[at].command != null || c.seat != null && c.seat.holdsOn(c.key, hosts[at].known)) {
+    if (leaving == null
+        || hosts[at].command != null
+        || c.seat != null && c.seat.holdsOn(c.key, hosts[at].known)) {
       return; // nobody leaves, or a command is under way, or it votes already
     }
     if (c.seat == null || c.seat.taken().epoch() > 0) {
@@ -374,7 +436,8 @@
     Voters v = hosts[0].known;
     for (Host h : hosts) {
       v = h.known.epoch() > v.epoch() ? h.known : v;
-      for (Voters at : h.seat == null ? List.<Voters>of() : List.of(h.seat.taken(), written(h.seat))) {
+      for (Voters at :
+          h.seat == null ? List.<Voters>of() : List.of(h.seat.taken(), written(h.seat))) {
         v = at.epoch() > v.epoch() ? at : v;
       }
     }
@@ -388,13 +451,21 @@
 
   /** Hosts whose voters count now. */
   public List<Integer> voting() {
-    return newest().keys().stream().map(k -> Integer.parseInt(Voters.nameOf(k).substring(1))).toList();
+    return newest().keys().stream()
+        .map(k -> Integer.parseInt(Voters.nameOf(k).substring(1)))
+        .toList();
   }
 
-  /** Whether all that vote have taken the newest set, nothing is on the way, and nobody is about to change it. */
+  /**
+   * Whether all that vote have taken the newest set, nothing is on the way, and nobody is about to
+   * change it.
+   */
   public boolean isSettled() {
     Voters v = newest();
-    return Arrays.stream(hosts).allMatch(h -> h.command == null) && v.leaving().isEmpty() && voting().stream().allMatch(i -> hosts[i].seat != null && hosts[i].seat.taken().equals(v));
+    return Arrays.stream(hosts).allMatch(h -> h.command == null)
+        && v.leaving().isEmpty()
+        && voting().stream()
+            .allMatch(i -> hosts[i].seat != null && hosts[i].seat.taken().equals(v));
   }
 
   /** Each host's key, the set that it knows and the one it has taken. */
@@ -402,8 +473,16 @@
   public String toString() {
     StringBuilder text = new StringBuilder();
     for (Host h : hosts) {
-      text.append(h.key).append(" knows ").append(h.known.text()).append(", took ").append(h.seat == null ? "none"
-          : h.seat.taken().text() + ", writes " + written(h.seat).text()).append(h.command == null ? "" : ", commands").append('\n');
+      text.append(h.key)
+          .append(" knows ")
+          .append(h.known.text())
+          .append(", took ")
+          .append(
+              h.seat == null
+                  ? "none"
+                  : h.seat.taken().text() + ", writes " + written(h.seat).text())
+          .append(h.command == null ? "" : ", commands")
+          .append('\n');
     }
     return text.toString();
   }
--- a/src/main/java/umberrun/agreement/sim/RegisterWorld.java
+++ b/src/main/java/umberrun/agreement/sim/RegisterWorld.java
@@ -12,26 +12,31 @@
 import umberrun.sim.Explorer;
 
 /**
- * Three voters and proposers that each append their mark to one register, with all orders and losses of messages, tries again and
- * crashes of voters: what was done for one must be seen by all that is done after.
+ * Three voters and proposers that each append their mark to one register, with all orders and
+ * losses of messages, tries again and crashes of voters: what was done for one must be seen by all
+ * that is done after.
  */
 public final class RegisterWorld implements Explorer.World {
   private static final String REGISTER = "r";
   private static final List<String> VOTERS = List.of("v0", "v1", "v2");
 
-  private record Sent(int proposer, int voter, boolean toVoter, Message message) { }
+  private record Sent(int proposer, int voter, boolean toVoter, Message message) {}
 
   private final int proposers;
   private final boolean syncs;
   private final Voter[] voters = new Voter[VOTERS.size()];
+
   /** What a crash leaves of each. */
   private final List<Map<String, Voter.Slot>> synced = new ArrayList<>();
+
   private final Proposer[] machines;
   private final List<Sent> flying = new ArrayList<>();
   private final boolean[] begun;
   private final String[] done;
+
   /** By proposer, what was done before it began. */
   private final List<List<String>> before = new ArrayList<>();
+
   private int triesLeft;
   private int crashesLeft;
 
@@ -79,22 +84,27 @@
   }
 
   private Proposer proposer(int self) {
-    return new Proposer("p" + self, VOTERS, 1, () -> 0L, new Proposer.Outbox() {
-      @Override
-      public void send(String voter, Message m) {
-        flying.add(new Sent(self, VOTERS.indexOf(voter), true, m));
-      }
-
-      @Override
-      public void retry(long at) {
-        // time does not pass here: a further try is a step of its own
-      }
-
-      @Override
-      public void done(Value v) {
-        done[self] = v.text();
-      }
-    });
+    return new Proposer(
+        "p" + self,
+        VOTERS,
+        1,
+        () -> 0L,
+        new Proposer.Outbox() {
+          @Override
+          public void send(String voter, Message m) {
+            flying.add(new Sent(self, VOTERS.indexOf(voter), true, m));
+          }
+
+          @Override
+          public void retry(long at) {
+            // time does not pass here: a further try is a step of its own
+          }
+
+          @Override
+          public void done(Value v) {
+            done[self] = v.text();
+          }
+        });
   }
 
   /** Each message, each beginning, each further try, each crash. */
@@ -131,7 +141,8 @@
       }
       before.set(c, sofar);
       String mark = Character.toString('a' + c);
-      machines[c].submit(0, REGISTER, v -> v.text().contains(mark) ? v : v.next(v.text() + mark), 1);
+      machines[c].submit(
+          0, REGISTER, v -> v.text().contains(mark) ? v : v.next(v.text() + mark), 1);
       return true;
     }
     c -= proposers;
@@ -159,7 +170,8 @@
     }
     Map<String, Voter.Slot> was = new TreeMap<>(voters[s.voter].slots());
     Voter.Step step = voters[s.voter].handle(s.message);
-    // One that syncs first has its answer leave only then; one that does not may lose what it has just answered.
+    // One that syncs first has its answer leave only then; one that does not may lose what it has
+    // just answered.
     synced.set(s.voter, syncs ? new TreeMap<>(voters[s.voter].slots()) : was);
     if (step != null) {
       flying.add(new Sent(s.proposer, s.voter, false, step.answer()));
@@ -170,7 +182,10 @@
   public String wrong() {
     for (int a = 0; a < proposers; a++) {
       for (int b = 0; b < proposers; b++) {
-        if (done[a] != null && done[b] != null && !done[a].startsWith(done[b]) && !done[b].startsWith(done[a])) {
+        if (done[a] != null
+            && done[b] != null
+            && !done[a].startsWith(done[b])
+            && !done[b].startsWith(done[a])) {
           return "done '" + done[a] + "' and '" + done[b] + "'";
         }
       }
@@ -192,11 +207,20 @@
     String[] byVoter = new String[voters.length];
     for (int v = 0; v < voters.length; v++) {
       int voter = v;
-      StringBuilder own = new StringBuilder().append(voters[v].slots()).append(syncs ? "" : synced.get(v).toString());
+      StringBuilder own =
+          new StringBuilder()
+              .append(voters[v].slots())
+              .append(syncs ? "" : synced.get(v).toString());
       for (Proposer m : machines) {
         own.append(m.hasYesOf(VOTERS.get(v)));
       }
-      flying.stream().filter(f -> f.voter == voter).map(f -> f.proposer + (machines[f.proposer].isOf(f.message) ? "+" : "-") + text(f.message)).sorted().forEach(own::append);
+      flying.stream()
+          .filter(f -> f.voter == voter)
+          .map(
+              f ->
+                  f.proposer + (machines[f.proposer].isOf(f.message) ? "+" : "-") + text(f.message))
+          .sorted()
+          .forEach(own::append);
       byVoter[v] = own.toString();
     }
     Arrays.sort(byVoter); // voters are alike: which of them it is makes no difference
@@ -204,8 +228,8 @@
   }
 
   /**
-   * A message in few letters, but for its number, of which only matters whether it is of the try that is on. (A record's own text
-   * takes as long as all else of a state.)
+   * A message in few letters, but for its number, of which only matters whether it is of the try
+   * that is on. (A record's own text takes as long as all else of a state.)
    */
   public static String text(Message m) {
     if (m instanceof Message.Look) {
--- a/src/main/java/umberrun/cli/Commands.java
+++ b/src/main/java/umberrun/cli/Commands.java
@@ -22,14 +22,27 @@
 import picocli.CommandLine.Parameters;
 import picocli.CommandLine.Spec;
 
-/** What operators ask from a shell. Not loaded by {@code serve}, which starts without a command line's cost. */
-@Command(name = "umberrun", mixinStandardHelpOptions = true, description = "A front end for workers that run functions.",
-    subcommands = {Commands.Serve.class, Commands.Benchlink.class, Commands.Knowledge.class, FleetCommand.class,
-        LeaseCommands.Leases.class, LeaseCommands.Register.class, LeaseCommands.VotersCommand.class, WorksCommand.class,
-        SimulateCommand.class})
+/**
+ * What operators ask from a shell. Not loaded by {@code serve}, which starts without a command
+ * line's cost.
+ */
+@Command(
+    name = "umberrun",
+    mixinStandardHelpOptions = true,
+    description = "A front end for workers that run functions.",
+    subcommands = {
+      Commands.Serve.class,
+      Commands.Benchlink.class,
+      Commands.Knowledge.class,
+      FleetCommand.class,
+      LeaseCommands.Leases.class,
+      LeaseCommands.Register.class,
+      LeaseCommands.VotersCommand.class,
+      WorksCommand.class,
+      SimulateCommand.class
+    })
 public final class Commands implements Runnable {
-  @Spec
-  private CommandSpec spec;
+  @Spec private CommandSpec spec;
 
   /** Runs a command; its exit status. */
   public static int run(String... args) {
@@ -42,27 +55,33 @@
   }
 
   /** Named here for its help alone: {@code Main} starts it without coming by. */
-  @Command(name = "serve", description = "One real front end, configured by EDGE_CONFIG and UMBERRUN_OPERATOR.")
-  static final class Serve { }
+  @Command(
+      name = "serve",
+      description = "One real front end, configured by EDGE_CONFIG and UMBERRUN_OPERATOR.")
+  static final class Serve {}
 
   /** The same. */
   @Command(name = "benchlink", description = "The same decisions on the simulator's wire.")
-  static final class Benchlink { }
+  static final class Benchlink {}
 
   /** Shows the facts of a running instance. */
-  @Command(name = "knowledge", mixinStandardHelpOptions = true,
+  @Command(
+      name = "knowledge",
+      mixinStandardHelpOptions = true,
       description = "What an instance believes, where it is from and how old it is.")
   static final class Knowledge implements Callable<Integer> {
     private static final Duration PATIENCE = Duration.ofSeconds(5);
     private static final List<String> KINDS = List.of("copy", "worker", "function");
 
-    @Spec
-    private CommandSpec spec;
+    @Spec private CommandSpec spec;
 
     @Parameters(paramLabel = "HOST:PORT", description = "learning.listen of the instance")
     private String address;
 
-    @Option(names = "--within", paramLabel = "MS", description = "only what was seen in the last so many milliseconds")
+    @Option(
+        names = "--within",
+        paramLabel = "MS",
+        description = "only what was seen in the last so many milliseconds")
     private Long within;
 
     @Option(names = "--worker", paramLabel = "NAME", description = "only what is about this worker")
@@ -76,27 +95,50 @@
         while (from >= 0) {
           JsonObject page = page(from);
           if (from == 0) {
-            out.printf("instance %s, up for %d ms, %d facts%n", page.get("epoch").getAsString(),
-                page.get("uptime_ms").getAsLong(), page.get("known").getAsLong());
+            out.printf(
+                "instance %s, up for %d ms, %d facts%n",
+                page.get("epoch").getAsString(),
+                page.get("uptime_ms").getAsLong(),
+                page.get("known").getAsLong());
           }
           page.getAsJsonArray("facts").forEach(f -> print(out, f.getAsJsonArray()));
           from = page.get("next").getAsLong();
         }
         out.flush();
         return 0;
-      } catch (IOException | IllegalArgumentException | JsonParseException | IllegalStateException e) {
-        spec.commandLine().getErr().println("umberrun: " + address + " does not tell: " + e.getMessage());
+      } catch (IOException
+          | IllegalArgumentException
+          | JsonParseException
+          | IllegalStateException e) {
+        spec.commandLine()
+            .getErr()
+            .println("umberrun: " + address + " does not tell: " + e.getMessage());
         return 1;
       }
     }
 
     private JsonObject page(long from) throws IOException, InterruptedException {
-      HttpResponse<String> r = HttpClient.newHttpClient().send(HttpRequest.newBuilder(URI.create("http://" + address
-          + "/v1/knowledge?v=1&from=" + from + (within == null ? "" : "&within_ms=" + within))).timeout(PATIENCE).build(),
-          HttpResponse.BodyHandlers.ofString());
+      HttpResponse<String> r =
+          HttpClient.newHttpClient()
+              .send(
+                  HttpRequest.newBuilder(
+                          URI.create(
+                              "http://"
+                                  + address
+                                  + "/v1/knowledge?v=1&from="
+                                  + from
+                                  + (within == null ? "" : "&within_ms=" + within)))
+                      .timeout(PATIENCE)
+                      .build(),
+                  HttpResponse.BodyHandlers.ofString());
       if (r.statusCode() != 200) {
-        throw new IOException("status " + r.statusCode() + r.headers().firstValue("Retry-After")
-            .map(s -> ", again in " + s + " s").orElse(""));
+        throw new IOException(
+            "status "
+                + r.statusCode()
+                + r.headers()
+                    .firstValue("Retry-After")
+                    .map(s -> ", again in " + s + " s")
+                    .orElse(""));
       }
       return JsonParser.parseString(r.body()).getAsJsonObject();
     }
@@ -113,8 +155,14 @@
           figures.append(String.format(" %.3g", x.getAsDouble()));
         }
       }
-      out.printf("%-8s %-16s %-16s %6d ms ago, seen by %s%s%n", KINDS.get(kind), about.isEmpty() ? "-" : about,
-          kind == 1 ? "-" : f.get(2).getAsString(), f.get(3).getAsLong(), f.get(4).getAsString(), figures);
+      out.printf(
+          "%-8s %-16s %-16s %6d ms ago, seen by %s%s%n",
+          KINDS.get(kind),
+          about.isEmpty() ? "-" : about,
+          kind == 1 ? "-" : f.get(2).getAsString(),
+          f.get(3).getAsLong(),
+          f.get(4).getAsString(),
+          figures);
     }
   }
 }
--- a/src/main/java/umberrun/cli/FleetCommand.java
+++ b/src/main/java/umberrun/cli/FleetCommand.java
@@ -22,7 +22,10 @@
 import umberrun.fleet.net.FleetClient;
 
 /** Who is in the fleet, as one member sees it. */
-@Command(name = "fleet", mixinStandardHelpOptions = true, description = "Who is in the fleet, as one member sees it.",
+@Command(
+    name = "fleet",
+    mixinStandardHelpOptions = true,
+    description = "Who is in the fleet, as one member sees it.",
     subcommands = FleetCommand.Leave.class)
 final class FleetCommand implements Callable<Integer> {
   /** Whom to ask. */
@@ -49,26 +52,31 @@
         throw new IOException("an address of the form host:port is needed");
       }
       try {
-        return JsonParser.parseString(FleetClient.ask(address.substring(0, colon),
-            Integer.parseInt(address.substring(colon + 1)), kind, words)).getAsJsonObject();
+        return JsonParser.parseString(
+                FleetClient.ask(
+                    address.substring(0, colon),
+                    Integer.parseInt(address.substring(colon + 1)),
+                    kind,
+                    words))
+            .getAsJsonObject();
       } catch (IllegalArgumentException | IllegalStateException | JsonParseException e) {
         throw new IOException(e.getMessage(), e);
       }
     }
 
     int silent(CommandSpec spec, IOException e) {
-      spec.commandLine().getErr().println("umberrun: " + address + " does not tell: " + e.getMessage());
+      spec.commandLine()
+          .getErr()
+          .println("umberrun: " + address + " does not tell: " + e.getMessage());
       return 1;
     }
   }
 
   private static final long WATCH_MILLIS = 1_000;
 
-  @Spec
-  private CommandSpec spec;
+  @Spec private CommandSpec spec;
 
-  @Mixin
-  private Member member;
+  @Mixin private Member member;
 
   @Option(names = "--json", description = "as JSON")
   private boolean json;
@@ -102,20 +110,44 @@
   }
 
   private static void print(PrintWriter out, JsonObject view) {
-    out.printf("fleet %s as %s sees it: counted %.0f, divides by %.2f, doubts itself %d of 8%s%n",
-        view.get("fleet").getAsString(), view.get("member").getAsString(), view.get("counted").getAsDouble(),
-        view.get("divisor").getAsDouble(), view.get("doubts").getAsInt(),
+    out.printf(
+        "fleet %s as %s sees it: counted %.0f, divides by %.2f, doubts itself %d of 8%s%n",
+        view.get("fleet").getAsString(),
+        view.get("member").getAsString(),
+        view.get("counted").getAsDouble(),
+        view.get("divisor").getAsDouble(),
+        view.get("doubts").getAsInt(),
         view.get("yielded").getAsBoolean() ? ", has YIELDED its name to another process" : "");
-    out.printf("%-20s %-10s %-8s %-9s %9s %9s %8s %-21s %s%n", "member", "hall", "status", "state", "since s", "heard s",
-        "trip us", "address", "suspected by");
+    out.printf(
+        "%-20s %-10s %-8s %-9s %9s %9s %8s %-21s %s%n",
+        "member",
+        "hall",
+        "status",
+        "state",
+        "since s",
+        "heard s",
+        "trip us",
+        "address",
+        "suspected by");
     List<JsonObject> members = new ArrayList<>();
     view.getAsJsonArray("members").forEach(m -> members.add(m.getAsJsonObject()));
     members.sort(Comparator.comparing(m -> text(m, "name")));
     for (JsonObject m : members) {
-      out.printf("%-20s %-10s %-8s %-9s %9s %9s %8s %-21s %s%n", text(m, "name"), text(m, "hall"), text(m, "status"),
-          text(m, "state"), seconds(m, "since_ms"), seconds(m, "heard_ms"), text(m, "round_trip_us"), text(m, "address"),
-          m.has("suspected_by") ? StreamSupport.stream(m.getAsJsonArray("suspected_by").spliterator(), false)
-              .map(JsonElement::getAsString).collect(Collectors.joining(" ")) : "");
+      out.printf(
+          "%-20s %-10s %-8s %-9s %9s %9s %8s %-21s %s%n",
+          text(m, "name"),
+          text(m, "hall"),
+          text(m, "status"),
+          text(m, "state"),
+          seconds(m, "since_ms"),
+          seconds(m, "heard_ms"),
+          text(m, "round_trip_us"),
+          text(m, "address"),
+          m.has("suspected_by")
+              ? StreamSupport.stream(m.getAsJsonArray("suspected_by").spliterator(), false)
+                  .map(JsonElement::getAsString)
+                  .collect(Collectors.joining(" "))
+              : "");
     }
   }
 
@@ -124,18 +156,21 @@
   }
 
   static String seconds(JsonObject o, String key) {
-    return o.has(key) && o.get(key).getAsLong() >= 0 ? String.format("%.1f", o.get(key).getAsLong() / 1e3) : "-";
+    return o.has(key) && o.get(key).getAsLong() >= 0
+        ? String.format("%.1f", o.get(key).getAsLong() / 1e3)
+        : "-";
   }
 
   /** Has a member say good-bye; it goes on serving. */
-  @Command(name = "leave", mixinStandardHelpOptions = true,
-      description = "Has a member say good-bye to the fleet; it serves on, and comes back with its next start.")
+  @Command(
+      name = "leave",
+      mixinStandardHelpOptions = true,
+      description =
+          "Has a member say good-bye to the fleet; it serves on, and comes back with its next start.")
   static final class Leave implements Callable<Integer> {
-    @Spec
-    private CommandSpec spec;
+    @Spec private CommandSpec spec;
 
-    @Mixin
-    private Member member;
+    @Mixin private Member member;
 
     @Override
     public Integer call() {
