--- a/src/main/java/umberrun/cli/LeaseCommands.java
+++ b/src/main/java/umberrun/cli/LeaseCommands.java
@@ -16,15 +16,13 @@
 final class LeaseCommands {
   private static final long ASK_MILLIS = 200;
 
-  private LeaseCommands() { }
+  private LeaseCommands() {}
 
   /** What they have in common: a member is asked, and its no is one line and status 1. */
   abstract static class Asking implements Callable<Integer> {
-    @Spec
-    private CommandSpec spec;
+    @Spec private CommandSpec spec;
 
-    @Mixin
-    private FleetCommand.Member member;
+    @Mixin private FleetCommand.Member member;
 
     @Option(names = "--json", description = "as JSON")
     private boolean json;
@@ -55,7 +53,10 @@
     }
   }
 
-  @Command(name = "leases", mixinStandardHelpOptions = true, description = "Which duty is whose, as one member knows it.",
+  @Command(
+      name = "leases",
+      mixinStandardHelpOptions = true,
+      description = "Which duty is whose, as one member knows it.",
       subcommands = Release.class)
   static final class Leases extends Asking {
     @Override
@@ -67,17 +68,25 @@
       out.printf("%-20s %-20s %8s %8s %9s%n", "duty", "holder", "fence", "left s", "since s");
       for (JsonElement e : o.getAsJsonArray("duties")) {
         JsonObject d = e.getAsJsonObject();
-        String holder = d.get("known").getAsBoolean() ? FleetCommand.text(d, "holder") : "not known yet";
-        out.printf("%-20s %-20s %8s %8s %9s%n", FleetCommand.text(d, "duty"), holder.isEmpty() ? "nobody" : holder,
-            FleetCommand.text(d, "fence"), d.get("here").getAsBoolean() ? FleetCommand.seconds(d, "left_ms") : "-",
+        String holder =
+            d.get("known").getAsBoolean() ? FleetCommand.text(d, "holder") : "not known yet";
+        out.printf(
+            "%-20s %-20s %8s %8s %9s%n",
+            FleetCommand.text(d, "duty"),
+            holder.isEmpty() ? "nobody" : holder,
+            FleetCommand.text(d, "fence"),
+            d.get("here").getAsBoolean() ? FleetCommand.seconds(d, "left_ms") : "-",
             FleetCommand.seconds(d, "since_ms"));
       }
       print(out, o.getAsJsonObject("voters"));
     }
   }
 
-  @Command(name = "release", mixinStandardHelpOptions = true,
-      description = "Has the holder of a duty give it back, and stay out of it for two lengths of a lease.")
+  @Command(
+      name = "release",
+      mixinStandardHelpOptions = true,
+      description =
+          "Has the holder of a duty give it back, and stay out of it for two lengths of a lease.")
   static final class Release extends Asking {
     @Parameters(index = "1", paramLabel = "DUTY", description = "as the table has it")
     private String duty;
@@ -89,7 +98,10 @@
     }
   }
 
-  @Command(name = "register", mixinStandardHelpOptions = true, description = "What a register holds, as a majority agrees.")
+  @Command(
+      name = "register",
+      mixinStandardHelpOptions = true,
+      description = "What a register holds, as a majority agrees.")
   static final class Register extends Asking {
     @Parameters(index = "1", paramLabel = "NAME", description = "as duty/probe/hall-a")
     private String name;
@@ -103,7 +115,10 @@
     }
   }
 
-  @Command(name = "voters", mixinStandardHelpOptions = true, description = "Who votes, as one member knows it.",
+  @Command(
+      name = "voters",
+      mixinStandardHelpOptions = true,
+      description = "Who votes, as one member knows it.",
       subcommands = {Found.class, Replace.class})
   static final class VotersCommand extends Asking {
     @Override
@@ -115,8 +130,11 @@
     }
   }
 
-  @Command(name = "found", mixinStandardHelpOptions = true,
-      description = "Founds the first set, of those that the operator's files name; all must answer, and none have voted.")
+  @Command(
+      name = "found",
+      mixinStandardHelpOptions = true,
+      description =
+          "Founds the first set, of those that the operator's files name; all must answer, and none have voted.")
   static final class Found extends Asking {
     @Override
     void run(PrintWriter out) throws IOException, InterruptedException {
@@ -125,13 +143,21 @@
     }
   }
 
-  @Command(name = "replace", mixinStandardHelpOptions = true, description = "Has a front end vote in the place of another, or one that "
-      + "lost its folder in its own; without names it goes on with what was begun.")
+  @Command(
+      name = "replace",
+      mixinStandardHelpOptions = true,
+      description =
+          "Has a front end vote in the place of another, or one that "
+              + "lost its folder in its own; without names it goes on with what was begun.")
   static final class Replace extends Asking {
     @Parameters(index = "1", arity = "0..1", paramLabel = "LEAVES", description = "name of a voter")
     private String leaves;
 
-    @Parameters(index = "2", arity = "0..1", paramLabel = "COMES", description = "name of a front end, or the same")
+    @Parameters(
+        index = "2",
+        arity = "0..1",
+        paramLabel = "COMES",
+        description = "name of a front end, or the same")
     private String comes;
 
     @Override
@@ -161,11 +187,18 @@
     StringBuilder keys = new StringBuilder();
     v.getAsJsonArray("voters").forEach(k -> keys.append(' ').append(k.getAsString()));
     String leaving = v.get("leaving").getAsString();
-    out.printf("voters%s, epoch %d%s%n", keys.length() == 0 ? " not known" : keys, v.get("epoch").getAsLong(),
-        leaving.isEmpty() ? "" : ", " + leaving + " is about to leave: voters replace goes on with it");
+    out.printf(
+        "voters%s, epoch %d%s%n",
+        keys.length() == 0 ? " not known" : keys,
+        v.get("epoch").getAsLong(),
+        leaving.isEmpty()
+            ? ""
+            : ", " + leaving + " is about to leave: voters replace goes on with it");
     String key = v.get("key").getAsString();
     String fault = v.get("why_not").getAsString();
-    out.println(!key.isEmpty() ? "this one votes as " + key + ", " + v.get("registers").getAsInt() + " registers"
-        : fault.isEmpty() ? "this one does not vote" : "this one does NOT VOTE: " + fault);
+    out.println(
+        !key.isEmpty()
+            ? "this one votes as " + key + ", " + v.get("registers").getAsInt() + " registers"
+            : fault.isEmpty() ? "this one does not vote" : "this one does NOT VOTE: " + fault);
   }
 }
--- a/src/main/java/umberrun/cli/SimulateCommand.java
+++ b/src/main/java/umberrun/cli/SimulateCommand.java
@@ -27,11 +27,13 @@
 import umberrun.fleet.sim.FleetTrial;
 
 /** Tries the parts that front ends share on a virtual clock and network. */
-@Command(name = "simulate", mixinStandardHelpOptions = true, subcommands = SimulateCommand.Fleet.class,
+@Command(
+    name = "simulate",
+    mixinStandardHelpOptions = true,
+    subcommands = SimulateCommand.Fleet.class,
     description = "Tries what front ends settle among themselves on a virtual clock and network.")
 final class SimulateCommand implements Runnable {
-  @Spec
-  private CommandSpec spec;
+  @Spec private CommandSpec spec;
 
   @Override
   public void run() {
@@ -48,64 +50,104 @@
       if (!m.matches()) {
         throw new TypeConversionException("'" + text + "' is not a time such as 200ms, 5s or 1m");
       }
-      double unit = switch (m.group(2)) {
-        case "ms" -> 1e3;
-        case "s" -> 1e6;
-        default -> 60e6;
-      };
+      double unit =
+          switch (m.group(2)) {
+            case "ms" -> 1e3;
+            case "s" -> 1e6;
+            default -> 60e6;
+          };
       return (long) (Double.parseDouble(m.group(1)) * unit);
     }
   }
 
   /** The view of the fleet: joins, deaths, cuts and pauses at a size that sockets do not reach. */
-  @Command(name = "fleet", mixinStandardHelpOptions = true,
-      description = "Joining, a third killed, a cut, a pause: times to detect and to settle, accusations and cost.")
+  @Command(
+      name = "fleet",
+      mixinStandardHelpOptions = true,
+      description =
+          "Joining, a third killed, a cut, a pause: times to detect and to settle, accusations and cost.")
   static final class Fleet implements Callable<Integer> {
     private static final long MOST_SETTLE = 600 * Settings.SECOND;
 
-    @Spec
-    private CommandSpec spec;
+    @Spec private CommandSpec spec;
 
-    @Option(names = "--members", defaultValue = "100", description = "how many (default ${DEFAULT-VALUE})")
+    @Option(
+        names = "--members",
+        defaultValue = "100",
+        description = "how many (default ${DEFAULT-VALUE})")
     private int members;
 
-    @Option(names = "--loss", defaultValue = "0", description = "of the datagrams, the part that is lost")
+    @Option(
+        names = "--loss",
+        defaultValue = "0",
+        description = "of the datagrams, the part that is lost")
     private double loss;
 
-    @Option(names = "--duplicates", defaultValue = "0.01", description = "the part that comes twice")
+    @Option(
+        names = "--duplicates",
+        defaultValue = "0.01",
+        description = "the part that comes twice")
     private double duplicates;
 
-    @Option(names = "--delay", defaultValue = "20ms", converter = Micros.class, description = "the longest, one way; "
-        + "unequal delays reorder")
+    @Option(
+        names = "--delay",
+        defaultValue = "20ms",
+        converter = Micros.class,
+        description = "the longest, one way; " + "unequal delays reorder")
     private long delay;
 
-    @Option(names = "--cut", defaultValue = "5s", converter = Micros.class, description = "how long halves are cut off")
+    @Option(
+        names = "--cut",
+        defaultValue = "5s",
+        converter = Micros.class,
+        description = "how long halves are cut off")
     private long cut;
 
     @Option(names = "--one-way", description = "the cut is one way only")
     private boolean oneWay;
 
-    @Option(names = "--pause", defaultValue = "30s", converter = Micros.class, description = "how long one stands still")
+    @Option(
+        names = "--pause",
+        defaultValue = "30s",
+        converter = Micros.class,
+        description = "how long one stands still")
     private long pause;
 
-    @Option(names = "--quiet", defaultValue = "60s", converter = Micros.class, description = "how long nothing happens, "
-        + "to count wrong accusations and cost")
+    @Option(
+        names = "--quiet",
+        defaultValue = "60s",
+        converter = Micros.class,
+        description = "how long nothing happens, " + "to count wrong accusations and cost")
     private long quiet;
 
-    @Option(names = "--interval", defaultValue = "500ms", converter = Micros.class, description = "between probes")
+    @Option(
+        names = "--interval",
+        defaultValue = "500ms",
+        converter = Micros.class,
+        description = "between probes")
     private long interval;
 
-    @Option(names = "--timeout", defaultValue = "200ms", converter = Micros.class, description = "of a probe")
+    @Option(
+        names = "--timeout",
+        defaultValue = "200ms",
+        converter = Micros.class,
+        description = "of a probe")
     private long timeout;
 
     @Option(names = "--no-doubts", description = "without local health, to see what it is worth")
     private boolean noDoubts;
 
-    @Option(names = "--slow", description = "one member's timers come late by this", converter = Micros.class,
+    @Option(
+        names = "--slow",
+        description = "one member's timers come late by this",
+        converter = Micros.class,
         defaultValue = "0ms")
     private long slow;
 
-    @Option(names = "--seed", defaultValue = "1", description = "the same seed plays the same again")
+    @Option(
+        names = "--seed",
+        defaultValue = "1",
+        description = "the same seed plays the same again")
     private long seed;
 
     @Option(names = "--csv", description = "a file for the figures")
@@ -121,33 +163,60 @@
 
     @Override
     public Integer call() throws IOException {
-      if (members < 2 || members > 4_000 || loss < 0 || loss >= 1 || interval <= 0 || timeout <= 0) {
-        throw new ParameterException(spec.commandLine(), "2 to 4000 members, a loss from 0 to below 1, times above 0");
+      if (members < 2
+          || members > 4_000
+          || loss < 0
+          || loss >= 1
+          || interval <= 0
+          || timeout <= 0) {
+        throw new ParameterException(
+            spec.commandLine(), "2 to 4000 members, a loss from 0 to below 1, times above 0");
       }
       Settings usual = FleetTrial.settings(members);
-      trial = new FleetTrial(members, new Settings(usual.fleet(), usual.seeds(), interval, timeout, usual.exchange(),
-          usual.reconnect(), usual.sure(), usual.forget(), usual.settle(), 2 * members, members, !noDoubts), seed,
-          Membership::new);
+      trial =
+          new FleetTrial(
+              members,
+              new Settings(
+                  usual.fleet(),
+                  usual.seeds(),
+                  interval,
+                  timeout,
+                  usual.exchange(),
+                  usual.reconnect(),
+                  usual.sure(),
+                  usual.forget(),
+                  usual.settle(),
+                  2 * members,
+                  members,
+                  !noDoubts),
+              seed,
+              Membership::new);
       trial.unchecked();
       trial.net().links(loss, duplicates, Math.min(200, delay), delay);
-      say("joined, s", settled(() -> { }));
+      say("joined, s", settled(() -> {}));
       quiet();
       settledAfterDeaths();
       say("a third back, s", settled(() -> each(0, 3, trial::start)));
-      say("after the cut, s", settled(() -> {
-        if (oneWay) {
-          each(0, 2, a -> each(1, 2, b -> trial.net().cut(a, b)));
-        } else {
-          trial.cut(i -> i % 2);
-        }
-        run(cut);
-        trial.net().healAll();
-      }));
-      say("after the pause, s", settled(() -> {
-        trial.net().pause(members - 1);
-        run(pause);
-        trial.net().resume(members - 1);
-      }));
+      say(
+          "after the cut, s",
+          settled(
+              () -> {
+                if (oneWay) {
+                  each(0, 2, a -> each(1, 2, b -> trial.net().cut(a, b)));
+                } else {
+                  trial.cut(i -> i % 2);
+                }
+                run(cut);
+                trial.net().healAll();
+              }));
+      say(
+          "after the pause, s",
+          settled(
+              () -> {
+                trial.net().pause(members - 1);
+                run(pause);
+                trial.net().resume(members - 1);
+              }));
       print();
       return 0;
     }
@@ -163,7 +232,7 @@
     }
 
     private void run(long span) {
-      for (long end = trial.net().now() + span; trial.net().now() < end;) {
+      for (long end = trial.net().now() + span; trial.net().now() < end; ) {
         trial.net().run(Math.min(end, trial.net().now() + Settings.SECOND / 4));
         double sum = 0;
         int living = 0;
@@ -178,14 +247,20 @@
       }
     }
 
-    /** How long all take to agree after something, in seconds; with loss a suspicion under way is no disagreement. */
+    /**
+     * How long all take to agree after something, in seconds; with loss a suspicion under way is no
+     * disagreement.
+     */
     private double settled(Runnable first) {
       first.run();
       long begun = trial.net().now();
-      while (trial.net().now() - begun < MOST_SETTLE && !(loss == 0 ? trial.isSettled() : trial.countsRight())) {
+      while (trial.net().now() - begun < MOST_SETTLE
+          && !(loss == 0 ? trial.isSettled() : trial.countsRight())) {
         run(Settings.SECOND / 4);
       }
-      return trial.net().now() - begun < MOST_SETTLE ? (trial.net().now() - begun) / 1e6 : Double.NaN;
+      return trial.net().now() - begun < MOST_SETTLE
+          ? (trial.net().now() - begun) / 1e6
+          : Double.NaN;
     }
 
     private void quiet() {
@@ -200,8 +275,12 @@
       double seconds = quiet / 1e6;
       say("packets a member and second", (trial.packets() - packets) / seconds / members);
       say("bytes a member and second", (trial.bytes() - bytes) / seconds / members);
-      say("wrong accusations a member and hour", (trial.wrongSuspicions() - wrong) / seconds / members * 3_600);
-      say("wrong deaths a member and hour", (trial.wrongDeaths() - dead) / seconds / members * 3_600);
+      say(
+          "wrong accusations a member and hour",
+          (trial.wrongSuspicions() - wrong) / seconds / members * 3_600);
+      say(
+          "wrong deaths a member and hour",
+          (trial.wrongDeaths() - dead) / seconds / members * 3_600);
       trial.measure(null);
       trial.slow(-1, 0);
     }
@@ -226,14 +305,30 @@
       out.flush();
       if (csv != null) {
         StringBuilder text = new StringBuilder("members,loss,seed,figure,value\n");
-        figures.forEach(f -> text.append(members).append(',').append(loss).append(',').append(seed).append(",\"")
-            .append(f[0]).append("\",").append(f[1]).append('\n'));
+        figures.forEach(
+            f ->
+                text.append(members)
+                    .append(',')
+                    .append(loss)
+                    .append(',')
+                    .append(seed)
+                    .append(",\"")
+                    .append(f[0])
+                    .append("\",")
+                    .append(f[1])
+                    .append('\n'));
         Files.writeString(csv, text);
       }
       if (plot != null) {
         System.setProperty("java.awt.headless", "true");
-        XYChart chart = new XYChartBuilder().width(900).height(400).title(members + " members, seed " + seed)
-            .xAxisTitle("virtual time, s").yAxisTitle("members held living, mean over the living").build();
+        XYChart chart =
+            new XYChartBuilder()
+                .width(900)
+                .height(400)
+                .title(members + " members, seed " + seed)
+                .xAxisTitle("virtual time, s")
+                .yAxisTitle("members held living, mean over the living")
+                .build();
         chart.addSeries("held living", times, seen).setMarker(SeriesMarkers.NONE);
         BitmapEncoder.saveBitmap(chart, plot.toString(), BitmapEncoder.BitmapFormat.PNG);
       }
--- a/src/main/java/umberrun/cli/WorksCommand.java
+++ b/src/main/java/umberrun/cli/WorksCommand.java
@@ -19,15 +19,28 @@
 import picocli.CommandLine.Spec;
 
 /** Machines taken out for work: what is planned, how far it is, and for whom it waits. */
-@Command(name = "works", mixinStandardHelpOptions = true, description = "Machines taken out for work, in an order the front ends settle.",
-    subcommands = {WorksCommand.PlanIt.class, WorksCommand.Show.class, WorksCommand.Watch.class, WorksCommand.Why.class,
-        WorksCommand.Pause.class, WorksCommand.Resume.class, WorksCommand.Cancel.class, WorksCommand.Urgent.class, WorksCommand.Skip.class,
-        WorksCommand.Done.class, WorksCommand.Force.class, WorksCommand.Strike.class})
+@Command(
+    name = "works",
+    mixinStandardHelpOptions = true,
+    description = "Machines taken out for work, in an order the front ends settle.",
+    subcommands = {
+      WorksCommand.PlanIt.class,
+      WorksCommand.Show.class,
+      WorksCommand.Watch.class,
+      WorksCommand.Why.class,
+      WorksCommand.Pause.class,
+      WorksCommand.Resume.class,
+      WorksCommand.Cancel.class,
+      WorksCommand.Urgent.class,
+      WorksCommand.Skip.class,
+      WorksCommand.Done.class,
+      WorksCommand.Force.class,
+      WorksCommand.Strike.class
+    })
 final class WorksCommand implements Runnable {
   private static final long WATCH_MILLIS = 1_000;
 
-  @Spec
-  private CommandSpec spec;
+  @Spec private CommandSpec spec;
 
   @Override
   public void run() {
@@ -36,16 +49,18 @@
 
   /** What they have in common: any front end is asked, and its no is one line and status 1. */
   abstract static class Order implements Callable<Integer> {
-    @Spec
-    private CommandSpec spec;
+    @Spec private CommandSpec spec;
 
-    @Mixin
-    private FleetCommand.Member member;
+    @Mixin private FleetCommand.Member member;
 
     @Option(names = "--json", description = "as JSON")
     private boolean json;
 
-    @Option(names = "--by", paramLabel = "WHO", description = "who orders it, for the trail", defaultValue = "${env:USER:-somebody}")
+    @Option(
+        names = "--by",
+        paramLabel = "WHO",
+        description = "who orders it, for the trail",
+        defaultValue = "${env:USER:-somebody}")
     private String by;
 
     abstract JsonObject order() throws IOException;
@@ -71,7 +86,8 @@
       try {
         JsonObject o = order();
         o.addProperty("by", by);
-        String words = Base64.getUrlEncoder().encodeToString(o.toString().getBytes(StandardCharsets.UTF_8));
+        String words =
+            Base64.getUrlEncoder().encodeToString(o.toString().getBytes(StandardCharsets.UTF_8));
         JsonObject told = member.call("works " + words);
         while (true) {
           if (json) {
@@ -94,7 +110,10 @@
 
   /** One that names a plan, a machine or a front end. */
   abstract static class Named extends Order {
-    @Parameters(index = "1", paramLabel = "NAME", description = "of a plan, a machine or a front end, as the command is about")
+    @Parameters(
+        index = "1",
+        paramLabel = "NAME",
+        description = "of a plan, a machine or a front end, as the command is about")
     private String name;
 
     private final String verb;
@@ -109,7 +128,10 @@
     }
   }
 
-  @Command(name = "plan", mixinStandardHelpOptions = true, description = "Has machines taken out: by name, or all that match.")
+  @Command(
+      name = "plan",
+      mixinStandardHelpOptions = true,
+      description = "Has machines taken out: by name, or all that match.")
   static final class PlanIt extends Order {
     @Option(names = "--id", required = true, description = "name of the plan")
     private String id;
@@ -126,13 +148,19 @@
     @Option(names = "--kind", description = "all of a kind")
     private String kind;
 
-    @Option(names = "--started-before", paramLabel = "MS", description = "all that started before a Unix time in milliseconds")
+    @Option(
+        names = "--started-before",
+        paramLabel = "MS",
+        description = "all that started before a Unix time in milliseconds")
     private Long startedBefore;
 
     @Option(names = "--all", description = "all on the list")
     private boolean all;
 
-    @Option(names = "--at-once", description = "may be missing at a time, over all plans", defaultValue = "1")
+    @Option(
+        names = "--at-once",
+        description = "may be missing at a time, over all plans",
+        defaultValue = "1")
     private int atOnce;
 
     @Option(names = "--halls-at-once", description = "more than one hall may be touched at a time")
@@ -144,13 +172,22 @@
     @Option(names = "--hall-floor", description = "the same in each hall", defaultValue = "0")
     private int hallFloor;
 
-    @Option(names = "--limit", paramLabel = "S", description = "for each stage of a machine", defaultValue = "900")
+    @Option(
+        names = "--limit",
+        paramLabel = "S",
+        description = "for each stage of a machine",
+        defaultValue = "900")
     private long limit;
 
-    @Option(names = "--late", description = "what follows where it takes longer: wait, skip or hold", defaultValue = "wait")
+    @Option(
+        names = "--late",
+        description = "what follows where it takes longer: wait, skip or hold",
+        defaultValue = "wait")
     private String late;
 
-    @Option(names = "--by-hand", description = "goes on only by an operator's word once something has stopped it")
+    @Option(
+        names = "--by-hand",
+        description = "goes on only by an operator's word once something has stopped it")
     private boolean byHand;
 
     @Option(names = "--urgent", description = "before other plans")
@@ -201,16 +238,26 @@
         super.print(out, told);
         return;
       }
-      out.printf("%d ready now, %d at the least meanwhile, %d rounds%n", told.get("ready").getAsInt(), told.get("least_ready").getAsInt(),
+      out.printf(
+          "%d ready now, %d at the least meanwhile, %d rounds%n",
+          told.get("ready").getAsInt(),
+          told.get("least_ready").getAsInt(),
           told.get("rounds").getAsInt());
       for (JsonElement e : told.getAsJsonArray("order")) {
         JsonObject p = e.getAsJsonObject();
-        out.printf("%-20s %s %s%n", p.get("machine").getAsString(), p.get("may").getAsBoolean() ? "goes" : "waits", joined(p.get("reasons")));
+        out.printf(
+            "%-20s %s %s%n",
+            p.get("machine").getAsString(),
+            p.get("may").getAsBoolean() ? "goes" : "waits",
+            joined(p.get("reasons")));
       }
     }
   }
 
-  @Command(name = "show", mixinStandardHelpOptions = true, description = "Plans, machines, and for whom they wait; the trail at the end.")
+  @Command(
+      name = "show",
+      mixinStandardHelpOptions = true,
+      description = "Plans, machines, and for whom they wait; the trail at the end.")
   static final class Show extends Order {
     @Override
     JsonObject order() {
@@ -218,7 +265,10 @@
     }
   }
 
-  @Command(name = "watch", mixinStandardHelpOptions = true, description = "The same each second until all plans are over.")
+  @Command(
+      name = "watch",
+      mixinStandardHelpOptions = true,
+      description = "The same each second until all plans are over.")
   static final class Watch extends Order {
     @Override
     JsonObject order() {
@@ -237,7 +287,10 @@
     }
   }
 
-  @Command(name = "why", mixinStandardHelpOptions = true, description = "Why a machine waits, or is where it is.")
+  @Command(
+      name = "why",
+      mixinStandardHelpOptions = true,
+      description = "Why a machine waits, or is where it is.")
   static final class Why extends Named {
     Why() {
       super("why");
@@ -246,7 +299,11 @@
     @Override
     void print(PrintWriter out, JsonObject told) {
       JsonObject m = told.getAsJsonObject("machine");
-      out.printf("%s of plan %s is %s%s%n", text(m, "name"), text(m, "plan"), text(m, "stage").toLowerCase(Locale.ROOT),
+      out.printf(
+          "%s of plan %s is %s%s%n",
+          text(m, "name"),
+          text(m, "plan"),
+          text(m, "stage").toLowerCase(Locale.ROOT),
           text(m, "note").isEmpty() ? "" : ": " + text(m, "note"));
       if (told.has("place")) {
         out.printf("place %d: %s%n", told.get("place").getAsInt(), joined(told.get("reasons")));
@@ -254,28 +311,40 @@
     }
   }
 
-  @Command(name = "pause", mixinStandardHelpOptions = true, description = "Nobody new of a plan goes.")
+  @Command(
+      name = "pause",
+      mixinStandardHelpOptions = true,
+      description = "Nobody new of a plan goes.")
   static final class Pause extends Named {
     Pause() {
       super("pause");
     }
   }
 
-  @Command(name = "resume", mixinStandardHelpOptions = true, description = "A plan that was paused or stopped goes on.")
+  @Command(
+      name = "resume",
+      mixinStandardHelpOptions = true,
+      description = "A plan that was paused or stopped goes on.")
   static final class Resume extends Named {
     Resume() {
       super("resume");
     }
   }
 
-  @Command(name = "cancel", mixinStandardHelpOptions = true, description = "Ends a plan; what is free for work stays out until 'done'.")
+  @Command(
+      name = "cancel",
+      mixinStandardHelpOptions = true,
+      description = "Ends a plan; what is free for work stays out until 'done'.")
   static final class Cancel extends Named {
     Cancel() {
       super("cancel");
     }
   }
 
-  @Command(name = "urgent", mixinStandardHelpOptions = true, description = "A plan's machines go before those of others.")
+  @Command(
+      name = "urgent",
+      mixinStandardHelpOptions = true,
+      description = "A plan's machines go before those of others.")
   static final class Urgent extends Named {
     Urgent() {
       super("urgent");
@@ -289,16 +358,25 @@
     }
   }
 
-  @Command(name = "done", mixinStandardHelpOptions = true, description = "The work on a machine has ended: it may serve.")
+  @Command(
+      name = "done",
+      mixinStandardHelpOptions = true,
+      description = "The work on a machine has ended: it may serve.")
   static final class Done extends Named {
     Done() {
       super("done");
     }
   }
 
-  @Command(name = "force", mixinStandardHelpOptions = true, description = "One front end's silence counts as a yes for a machine.")
+  @Command(
+      name = "force",
+      mixinStandardHelpOptions = true,
+      description = "One front end's silence counts as a yes for a machine.")
   static final class Force extends Named {
-    @Parameters(index = "2", paramLabel = "FRONT-END", description = "whose silence: make sure that it sends nothing there")
+    @Parameters(
+        index = "2",
+        paramLabel = "FRONT-END",
+        description = "whose silence: make sure that it sends nothing there")
     private String silent;
 
     Force() {
@@ -313,7 +391,10 @@
     }
   }
 
-  @Command(name = "strike", mixinStandardHelpOptions = true, description = "Takes a front end off the roll that will not come back.")
+  @Command(
+      name = "strike",
+      mixinStandardHelpOptions = true,
+      description = "Takes a front end off the roll that will not come back.")
   static final class Strike extends Named {
     Strike() {
       super("strike");
@@ -332,21 +413,38 @@
 
   private static void print(PrintWriter out, JsonObject told) {
     JsonObject l = told.getAsJsonObject("ledger");
-    out.printf("version %d as %s knows it%s, %d front ends on the roll%s%n", told.get("version").getAsLong(), text(told, "member"),
-        told.get("drives").getAsBoolean() ? ", which drives" : "", l.getAsJsonArray("roll").size(),
+    out.printf(
+        "version %d as %s knows it%s, %d front ends on the roll%s%n",
+        told.get("version").getAsLong(),
+        text(told, "member"),
+        told.get("drives").getAsBoolean() ? ", which drives" : "",
+        l.getAsJsonArray("roll").size(),
         told.get("on_roll").getAsBoolean() ? "" : ", NOT this one");
     for (JsonElement e : l.getAsJsonArray("plans")) {
       JsonObject p = e.getAsJsonObject();
-      out.printf("plan %s %s%s: %s, by %s%n", text(p, "id"), text(p, "state").toLowerCase(Locale.ROOT),
-          text(p, "reason").isEmpty() ? "" : " (" + text(p, "reason") + ")", text(p, "why"), text(p, "by"));
+      out.printf(
+          "plan %s %s%s: %s, by %s%n",
+          text(p, "id"),
+          text(p, "state").toLowerCase(Locale.ROOT),
+          text(p, "reason").isEmpty() ? "" : " (" + text(p, "reason") + ")",
+          text(p, "why"),
+          text(p, "by"));
       for (JsonElement f : l.getAsJsonArray("machines")) {
         JsonObject m = f.getAsJsonObject();
         if (text(m, "plan").equals(text(p, "id"))) {
           String name = text(m, "name");
-          JsonElement waits = told.has("waits_for") ? told.getAsJsonObject("waits_for").get(name) : null;
-          out.printf("  %-20s %-8s%s%s%s%s%n", name, text(m, "stage").toLowerCase(Locale.ROOT), m.get("overdue").getAsBoolean() ? " OVERDUE" : "",
+          JsonElement waits =
+              told.has("waits_for") ? told.getAsJsonObject("waits_for").get(name) : null;
+          out.printf(
+              "  %-20s %-8s%s%s%s%s%n",
+              name,
+              text(m, "stage").toLowerCase(Locale.ROOT),
+              m.get("overdue").getAsBoolean() ? " OVERDUE" : "",
               m.getAsJsonArray("forced").isEmpty() ? "" : " forced for " + joined(m.get("forced")),
-              waits == null || waits.getAsJsonArray().isEmpty() ? "" : " waits for " + joined(waits), text(m, "note").isEmpty() ? "" : "  " + text(m, "note"));
+              waits == null || waits.getAsJsonArray().isEmpty()
+                  ? ""
+                  : " waits for " + joined(waits),
+              text(m, "note").isEmpty() ? "" : "  " + text(m, "note"));
         }
       }
     }
--- a/src/main/java/umberrun/config/Config.java
+++ b/src/main/java/umberrun/config/Config.java
@@ -16,12 +16,12 @@
 import java.util.Map;
 import java.util.zip.CRC32;
 import saddlestall.Dispatcher.Settings;
-import umberrun.admission.Account;
 import saddlestall.benchlink.SettingsJson;
+import umberrun.admission.Account;
 
 /**
- * All that a front end is told at its start: by the platform in {@code EDGE_*} variables and the JSON file
- * that one of them names, and by the operator in a file of ours.
+ * All that a front end is told at its start: by the platform in {@code EDGE_*} variables and the
+ * JSON file that one of them names, and by the operator in a file of ours.
  *
  * @param name its name, the same after a restart
  * @param listen where clients of the platform's protocol connect
@@ -33,15 +33,32 @@
  * @param door where operators call, or null where there is no door
  * @param file the operator's file, with the second front's settings, or null while all of it is off
  */
-public record Config(String name, SocketAddress listen, long seed, int sockets, int memoryMb, SocketAddress changelog,
-    JsonObject known, Settings settings, Names names, SocketAddress door, OperatorFile file) {
+public record Config(
+    String name,
+    SocketAddress listen,
+    long seed,
+    int sockets,
+    int memoryMb,
+    SocketAddress changelog,
+    JsonObject known,
+    Settings settings,
+    Names names,
+    SocketAddress door,
+    OperatorFile file) {
 
   /**
-   * The names that the settings give to places, in order; the module knows positions only. With them what they say of connections: a
-   * limit that they lack is none, {@code idleCloseMillis} then 0; and for how long an order to load is waited for.
+   * The names that the settings give to places, in order; the module knows positions only. With
+   * them what they say of connections: a limit that they lack is none, {@code idleCloseMillis} then
+   * 0; and for how long an order to load is waited for.
    */
-  public record Names(List<String> classes, List<String> tenants, List<String> zones, List<String> kinds,
-      long idleCloseMillis, int streamsPerConnection, long orderMillis) { }
+  public record Names(
+      List<String> classes,
+      List<String> tenants,
+      List<String> zones,
+      List<String> kinds,
+      long idleCloseMillis,
+      int streamsPerConnection,
+      long orderMillis) {}
 
   /** A configuration that cannot be served; the message is one plain line. */
   public static final class BadConfig extends Exception {
@@ -54,8 +71,10 @@
 
   private static final int DEFAULT_SOCKETS = 1024;
   private static final int DEFAULT_MEMORY_MB = 192;
+
   /** Of the memory, what answers that clients have not taken yet may hold. */
   private static final int ANSWERS_PART = 12;
+
   /** Reads the variables and the files that they name. */
   public static Config read(Map<String, String> env) throws BadConfig {
     String path = env.get("EDGE_CONFIG");
@@ -71,20 +90,32 @@
       String door = env.getOrDefault("EDGE_OPERATOR", text(o, "operator"));
       String changelog = text(o, "changelog");
       Names names = names(settings);
-      OperatorFile file = fileName == null || fileName.isEmpty() ? null : OperatorFile.read(json(fileName));
+      OperatorFile file =
+          fileName == null || fileName.isEmpty() ? null : OperatorFile.read(json(fileName));
       if (changelog.isEmpty() && (file == null || !file.listsWorkers())) {
         throw new BadConfig("no source of workers: neither changelog nor consul.workers is set");
       }
-      Config config = new Config(name, address(listen, "listen"), seed(text(o, "seed")), (int) positive(object(o, "limits"), "sockets", DEFAULT_SOCKETS),
-          (int) positive(object(o, "limits"), "memory_mb", DEFAULT_MEMORY_MB),
-          changelog.isEmpty() ? null : address(changelog, "changelog"), object(o, "known"),
-          SettingsJson.read(settings.toString()), names, door.isEmpty() ? null : address(door, "operator"), file);
+      Config config =
+          new Config(
+              name,
+              address(listen, "listen"),
+              seed(text(o, "seed")),
+              (int) positive(object(o, "limits"), "sockets", DEFAULT_SOCKETS),
+              (int) positive(object(o, "limits"), "memory_mb", DEFAULT_MEMORY_MB),
+              changelog.isEmpty() ? null : address(changelog, "changelog"),
+              object(o, "known"),
+              SettingsJson.read(settings.toString()),
+              names,
+              door.isEmpty() ? null : address(door, "operator"),
+              file);
       config.account();
       if (file != null && file.leases() != null) {
         file.leases().check(name);
       }
       return config;
-    } catch (IllegalStateException | NumberFormatException | ClassCastException
+    } catch (IllegalStateException
+        | NumberFormatException
+        | ClassCastException
         | UnsupportedOperationException e) { // a field of another type than it should have
       throw new BadConfig(path + ": " + e.getMessage());
     }
@@ -93,21 +124,30 @@
   /** The account of all connections that the process may hold. */
   public Account account() throws BadConfig {
     try {
-      return new Account(sockets, file != null && file.invoke() != null, door != null,
-          file == null ? 0 : (file.learning() != null ? 1 : 0) + (file.fleet() != null ? 1 : 0)
-              + (file.leases() != null ? 1 : 0));
+      return new Account(
+          sockets,
+          file != null && file.invoke() != null,
+          door != null,
+          file == null
+              ? 0
+              : (file.learning() != null ? 1 : 0)
+                  + (file.fleet() != null ? 1 : 0)
+                  + (file.leases() != null ? 1 : 0));
     } catch (Account.TooFew e) {
       throw new BadConfig(e.getMessage());
     }
   }
 
   /**
-   * Tells deployments apart, in hexadecimal: guards what a process leaves for its successor against another customer's settings under
-   * the same name. It covers all names and no figure, so that an upgrade may change those.
+   * Tells deployments apart, in hexadecimal: guards what a process leaves for its successor against
+   * another customer's settings under the same name. It covers all names and no figure, so that an
+   * upgrade may change those.
    */
   public String deployment() {
     CRC32 crc = new CRC32();
-    crc.update(("" + names.classes + names.tenants + names.zones + names.kinds).getBytes(StandardCharsets.UTF_8));
+    crc.update(
+        ("" + names.classes + names.tenants + names.zones + names.kinds)
+            .getBytes(StandardCharsets.UTF_8));
     return String.format("%08x", crc.getValue());
   }
 
@@ -145,9 +185,16 @@
 
   private static Names names(JsonObject s) throws BadConfig {
     JsonObject limits = object(s, "Limits");
-    Names names = new Names(list(s, "Classes"), list(s, "Tenants"), list(s, "Zones"), list(s, "Kinds"),
-        positive(limits, "IdleClose", 0), (int) Math.min(Integer.MAX_VALUE, positive(limits, "StreamsPerConn", Integer.MAX_VALUE)),
-        positive(object(s, "FamilyInfo"), "OrderLimit", longestGiveUp(s)));
+    Names names =
+        new Names(
+            list(s, "Classes"),
+            list(s, "Tenants"),
+            list(s, "Zones"),
+            list(s, "Kinds"),
+            positive(limits, "IdleClose", 0),
+            (int)
+                Math.min(Integer.MAX_VALUE, positive(limits, "StreamsPerConn", Integer.MAX_VALUE)),
+            positive(object(s, "FamilyInfo"), "OrderLimit", longestGiveUp(s)));
     if (names.classes.isEmpty() || new HashSet<>(names.classes).size() < names.classes.size()) {
       throw new BadConfig("settings.Classes must name at least one class, and each but once");
     }
--- a/src/main/java/umberrun/config/FleetOptions.java
+++ b/src/main/java/umberrun/config/FleetOptions.java
@@ -20,13 +20,44 @@
  * @param packetsPerSecond datagrams, each way, beyond which they are dropped
  * @param bytesPerSecond the same in bytes, full exchanges included
  */
-public record FleetOptions(String name, SocketAddress listen, String advertise, List<String> join, Map<String, String> via,
-    boolean consul, String release, long intervalMillis, long timeoutMillis, long exchangeMillis, long reconnectMillis,
-    long sureMillis, long forgetMillis, long settleMillis, int members, long packetsPerSecond, long bytesPerSecond) {
+public record FleetOptions(
+    String name,
+    SocketAddress listen,
+    String advertise,
+    List<String> join,
+    Map<String, String> via,
+    boolean consul,
+    String release,
+    long intervalMillis,
+    long timeoutMillis,
+    long exchangeMillis,
+    long reconnectMillis,
+    long sureMillis,
+    long forgetMillis,
+    long settleMillis,
+    int members,
+    long packetsPerSecond,
+    long bytesPerSecond) {
 
-  private static final Set<String> KEYS = Set.of("name", "listen", "advertise", "join", "via", "consul", "release",
-      "interval_ms", "timeout_ms", "exchange_ms", "reconnect_ms", "sure_ms", "forget_ms", "settle_ms", "members",
-      "packets_per_s", "bytes_per_s");
+  private static final Set<String> KEYS =
+      Set.of(
+          "name",
+          "listen",
+          "advertise",
+          "join",
+          "via",
+          "consul",
+          "release",
+          "interval_ms",
+          "timeout_ms",
+          "exchange_ms",
+          "reconnect_ms",
+          "sure_ms",
+          "forget_ms",
+          "settle_ms",
+          "members",
+          "packets_per_s",
+          "bytes_per_s");
   private static final int MOST_NAME = 64;
   private static final int MOST_MEMBERS = 4_096;
 
@@ -38,7 +69,10 @@
     }
     String name = text(o, "name");
     if (name.isEmpty() || name.length() > MOST_NAME) {
-      throw new BadConfig("fleet.name must be 1 to " + MOST_NAME + " characters: members of other fleets are not spoken with");
+      throw new BadConfig(
+          "fleet.name must be 1 to "
+              + MOST_NAME
+              + " characters: members of other fleets are not spoken with");
     }
     if (!o.has("listen")) {
       throw new BadConfig("fleet needs fleet.listen: other members speak to it there");
@@ -56,18 +90,36 @@
     for (Map.Entry<String, JsonElement> e : OperatorFile.part(o, "via").entrySet()) {
       via.put(checked(e.getKey(), "fleet.via"), checked(e.getValue().getAsString(), "fleet.via"));
     }
-    FleetOptions options = new FleetOptions(name, Config.address(text(o, "listen"), "fleet.listen"),
-        o.has("advertise") ? checked(text(o, "advertise"), "fleet.advertise") : "", List.copyOf(join), Map.copyOf(via),
-        o.has("consul") && o.get("consul").getAsBoolean(), text(o, "release"), figure(o, "interval_ms", 500),
-        figure(o, "timeout_ms", 200), figure(o, "exchange_ms", 10_000), figure(o, "reconnect_ms", 2_000),
-        figure(o, "sure_ms", 60_000), figure(o, "forget_ms", 3_600_000), figure(o, "settle_ms", 5_000),
-        (int) figure(o, "members", 1_024), figure(o, "packets_per_s", 400), figure(o, "bytes_per_s", 262_144));
+    FleetOptions options =
+        new FleetOptions(
+            name,
+            Config.address(text(o, "listen"), "fleet.listen"),
+            o.has("advertise") ? checked(text(o, "advertise"), "fleet.advertise") : "",
+            List.copyOf(join),
+            Map.copyOf(via),
+            o.has("consul") && o.get("consul").getAsBoolean(),
+            text(o, "release"),
+            figure(o, "interval_ms", 500),
+            figure(o, "timeout_ms", 200),
+            figure(o, "exchange_ms", 10_000),
+            figure(o, "reconnect_ms", 2_000),
+            figure(o, "sure_ms", 60_000),
+            figure(o, "forget_ms", 3_600_000),
+            figure(o, "settle_ms", 5_000),
+            (int) figure(o, "members", 1_024),
+            figure(o, "packets_per_s", 400),
+            figure(o, "bytes_per_s", 262_144));
     if (options.timeoutMillis > options.intervalMillis / 2) {
-      throw new BadConfig("fleet.timeout_ms must be half of fleet.interval_ms at the most: others are asked in the rest");
+      throw new BadConfig(
+          "fleet.timeout_ms must be half of fleet.interval_ms at the most: others are asked in the rest");
     }
     if (options.members > MOST_MEMBERS || options.release.length() > MOST_NAME) {
-      throw new BadConfig("fleet.members must be " + MOST_MEMBERS + " and fleet.release " + MOST_NAME
-          + " characters at the most");
+      throw new BadConfig(
+          "fleet.members must be "
+              + MOST_MEMBERS
+              + " and fleet.release "
+              + MOST_NAME
+              + " characters at the most");
     }
     return options;
   }
--- a/src/main/java/umberrun/config/LeaseOptions.java
+++ b/src/main/java/umberrun/config/LeaseOptions.java
@@ -17,16 +17,34 @@
  * @param lengthMillis of a lease
  * @param rate by how much a clock may run fast or slow, as a part
  * @param pauseMillis added to the time that others wait before they take an expired duty
- * @param probeMillis between two probes of a worker by the holder of its hall's duty, 0 for no such duty
+ * @param probeMillis between two probes of a worker by the holder of its hall's duty, 0 for no such
+ *     duty
  * @param beacon where the holder of the duty {@code beacon} reports, or null
  * @param beaconMillis between two reports
  */
-public record LeaseOptions(List<String> voters, String stateDir, long lengthMillis, double rate, long pauseMillis,
-    long probeMillis, SocketAddress beacon, long beaconMillis) {
-  private static final Set<String> KEYS = Set.of("voters", "state_dir", "length_ms", "rate", "pause_ms", "probe_ms", "beacon",
-      "beacon_ms");
+public record LeaseOptions(
+    List<String> voters,
+    String stateDir,
+    long lengthMillis,
+    double rate,
+    long pauseMillis,
+    long probeMillis,
+    SocketAddress beacon,
+    long beaconMillis) {
+  private static final Set<String> KEYS =
+      Set.of(
+          "voters",
+          "state_dir",
+          "length_ms",
+          "rate",
+          "pause_ms",
+          "probe_ms",
+          "beacon",
+          "beacon_ms");
+
   /** A lease lasts for some tries of a proposer, and some round trips each. */
   private static final int LEAST_ROUND_TRIPS = 5;
+
   private static final double MOST_RATE = 0.2;
   private static final int LEAST_PROBE_MILLIS = 50;
 
@@ -53,16 +71,26 @@
         throw new BadConfig("leases.voters: '" + v + "' can't be the name of a voter");
       }
     }
-    LeaseOptions options = new LeaseOptions(List.copyOf(voters), o.has("state_dir") ? o.get("state_dir").getAsString() : "",
-        figure(o, "length_ms", 3_000), o.has("rate") ? o.get("rate").getAsDouble() : 0.01,
-        o.has("pause_ms") ? o.get("pause_ms").getAsLong() : 0, o.has("probe_ms") ? figure(o, "probe_ms", 0) : 0,
-        o.has("beacon") ? Config.address(o.get("beacon").getAsString(), "leases.beacon") : null, figure(o, "beacon_ms", 1_000));
+    LeaseOptions options =
+        new LeaseOptions(
+            List.copyOf(voters),
+            o.has("state_dir") ? o.get("state_dir").getAsString() : "",
+            figure(o, "length_ms", 3_000),
+            o.has("rate") ? o.get("rate").getAsDouble() : 0.01,
+            o.has("pause_ms") ? o.get("pause_ms").getAsLong() : 0,
+            o.has("probe_ms") ? figure(o, "probe_ms", 0) : 0,
+            o.has("beacon") ? Config.address(o.get("beacon").getAsString(), "leases.beacon") : null,
+            figure(o, "beacon_ms", 1_000));
     if (options.lengthMillis < LEAST_ROUND_TRIPS * fleet.timeoutMillis()) {
-      throw new BadConfig("leases.length_ms must be " + LEAST_ROUND_TRIPS + " times fleet.timeout_ms at the least: it is renewed by "
-          + "round trips");
+      throw new BadConfig(
+          "leases.length_ms must be "
+              + LEAST_ROUND_TRIPS
+              + " times fleet.timeout_ms at the least: it is renewed by "
+              + "round trips");
     }
     if (!(options.rate >= 0 && options.rate <= MOST_RATE) || options.pauseMillis < 0) {
-      throw new BadConfig("leases.rate must be from 0 to " + MOST_RATE + ", and leases.pause_ms not below 0");
+      throw new BadConfig(
+          "leases.rate must be from 0 to " + MOST_RATE + ", and leases.pause_ms not below 0");
     }
     if (options.probeMillis > 0 && options.probeMillis < LEAST_PROBE_MILLIS) {
       throw new BadConfig("leases.probe_ms must be " + LEAST_PROBE_MILLIS + " at the least");
@@ -73,7 +101,8 @@
   /** Checks what rests on this front end's own name. */
   void check(String name) throws BadConfig {
     if (voters.contains(name) && stateDir.isEmpty()) {
-      throw new BadConfig("leases.state_dir is needed: " + name + " votes, and what it promises must be on disk");
+      throw new BadConfig(
+          "leases.state_dir is needed: " + name + " votes, and what it promises must be on disk");
     }
   }
 
--- a/src/main/java/umberrun/config/OperatorFile.java
+++ b/src/main/java/umberrun/config/OperatorFile.java
@@ -9,12 +9,24 @@
 import umberrun.core.Invocations.Bounds;
 import umberrun.learning.net.Learning;
 
-/** The operator's own file: whether and where the invoke API listens, which Consul it works with, whom to learn from, which fleet it is of, which duties there are. */
-public record OperatorFile(SocketAddress invoke, Bounds deferred, Consul consul, Learning.Settings learning,
-    FleetOptions fleet, LeaseOptions leases, WorksOptions works) {
+/**
+ * The operator's own file: whether and where the invoke API listens, which Consul it works with,
+ * whom to learn from, which fleet it is of, which duties there are.
+ */
+public record OperatorFile(
+    SocketAddress invoke,
+    Bounds deferred,
+    Consul consul,
+    Learning.Settings learning,
+    FleetOptions fleet,
+    LeaseOptions leases,
+    WorksOptions works) {
 
-  /** The agent, the name that we register under, and the name whose instances are our workers (or empty). */
-  public record Consul(SocketAddress agent, String service, String workers, long waitMillis) { }
+  /**
+   * The agent, the name that we register under, and the name whose instances are our workers (or
+   * empty).
+   */
+  public record Consul(SocketAddress agent, String service, String workers, long waitMillis) {}
 
   /** Whether the list of workers comes from Consul. */
   public boolean listsWorkers() {
@@ -31,18 +43,31 @@
     FleetOptions fleet = fleet(o, consul);
     LeaseOptions leases = o.has("leases") ? LeaseOptions.read(part(o, "leases"), fleet) : null;
     return new OperatorFile(
-        invoke.has("listen") ? Config.address(invoke.get("listen").getAsString(), "invoke.listen") : null,
-        new Bounds((int) figure(deferred, "queue", 1_000), (int) figure(deferred, "in_hand", 64),
-            (int) figure(deferred, "results", 4_096), figure(deferred, "result_bytes", 8 << 20),
+        invoke.has("listen")
+            ? Config.address(invoke.get("listen").getAsString(), "invoke.listen")
+            : null,
+        new Bounds(
+            (int) figure(deferred, "queue", 1_000),
+            (int) figure(deferred, "in_hand", 64),
+            (int) figure(deferred, "results", 4_096),
+            figure(deferred, "result_bytes", 8 << 20),
             figure(deferred, "keep_ms", 60_000)),
-        consul.has("agent") ? new Consul(Config.address(consul.get("agent").getAsString(), "consul.agent"),
-            consul.has("service") ? consul.get("service").getAsString() : "umberrun",
-            consul.has("workers") ? consul.get("workers").getAsString() : "",
-            figure(consul, "wait_ms", 30_000)) : null, learning(part(o, "learning")), fleet,
-        leases, o.has("works") ? WorksOptions.read(part(o, "works"), leases) : null);
+        consul.has("agent")
+            ? new Consul(
+                Config.address(consul.get("agent").getAsString(), "consul.agent"),
+                consul.has("service") ? consul.get("service").getAsString() : "umberrun",
+                consul.has("workers") ? consul.get("workers").getAsString() : "",
+                figure(consul, "wait_ms", 30_000))
+            : null,
+        learning(part(o, "learning")),
+        fleet,
+        leases,
+        o.has("works") ? WorksOptions.read(part(o, "works"), leases) : null);
   }
 
-  /** Null where it is off. Whoever asks others is to be asked too, so that there is somebody to ask. */
+  /**
+   * Null where it is off. Whoever asks others is to be asked too, so that there is somebody to ask.
+   */
   private static Learning.Settings learning(JsonObject o) throws BadConfig {
     if (o.isEmpty()) {
       return null;
@@ -59,8 +84,12 @@
         peers.add(Config.address(e.getAsString(), "learning.peers"));
       }
     }
-    return new Learning.Settings(Config.address(o.get("listen").getAsString(), "learning.listen"), List.copyOf(peers),
-        figure(o, "deadline_ms", 400), (int) figure(o, "page_bytes", 65_536), figure(o, "bytes_per_s", 524_288));
+    return new Learning.Settings(
+        Config.address(o.get("listen").getAsString(), "learning.listen"),
+        List.copyOf(peers),
+        figure(o, "deadline_ms", 400),
+        (int) figure(o, "page_bytes", 65_536),
+        figure(o, "bytes_per_s", 524_288));
   }
 
   /** Null where it is off. */
@@ -86,7 +115,9 @@
     return figure(o, key, key, otherwise);
   }
 
-  /** @param said how the key is named to the operator */
+  /**
+   * @param said how the key is named to the operator
+   */
   static long figure(JsonObject o, String key, String said, long otherwise) throws BadConfig {
     long value = o.has(key) ? o.get(key).getAsLong() : otherwise;
     if (value <= 0) {
--- a/src/main/java/umberrun/config/WorksOptions.java
+++ b/src/main/java/umberrun/config/WorksOptions.java
@@ -13,27 +13,38 @@
  * @param jump traffic over so many times its mean stops plans
  * @param refusals a share of refused calls above this stops plans
  */
-public record WorksOptions(long startMillis, long quietMillis, long moveMillis, double jump, double refusals) {
-  private static final Set<String> KEYS = Set.of("start_ms", "quiet_ms", "move_ms", "jump", "refusals");
+public record WorksOptions(
+    long startMillis, long quietMillis, long moveMillis, double jump, double refusals) {
+  private static final Set<String> KEYS =
+      Set.of("start_ms", "quiet_ms", "move_ms", "jump", "refusals");
+
   /** Ready well under 6 s, whatever the others do. */
   private static final long MOST_START = 3_000;
 
   static WorksOptions read(JsonObject o, LeaseOptions leases) throws BadConfig {
     if (leases == null) {
-      throw new BadConfig("works needs leases: plans are kept in agreed registers, and driven by who holds a duty");
+      throw new BadConfig(
+          "works needs leases: plans are kept in agreed registers, and driven by who holds a duty");
     }
     for (String key : o.keySet()) {
       if (!KEYS.contains(key)) {
         throw new BadConfig("works." + key + " is not known");
       }
     }
-    WorksOptions options = new WorksOptions(figure(o, "start_ms", 1_500), figure(o, "quiet_ms", 30_000), figure(o, "move_ms", 15_000),
-        o.has("jump") ? o.get("jump").getAsDouble() : 1.6, o.has("refusals") ? o.get("refusals").getAsDouble() : 0.05);
+    WorksOptions options =
+        new WorksOptions(
+            figure(o, "start_ms", 1_500),
+            figure(o, "quiet_ms", 30_000),
+            figure(o, "move_ms", 15_000),
+            o.has("jump") ? o.get("jump").getAsDouble() : 1.6,
+            o.has("refusals") ? o.get("refusals").getAsDouble() : 0.05);
     if (options.startMillis > MOST_START) {
-      throw new BadConfig("works.start_ms must be " + MOST_START + " at the most: clients wait for the start");
+      throw new BadConfig(
+          "works.start_ms must be " + MOST_START + " at the most: clients wait for the start");
     }
     if (!(options.jump > 1) || !(options.refusals > 0 && options.refusals <= 1)) {
-      throw new BadConfig("works.jump must be above 1, and works.refusals above 0 and 1 at the most");
+      throw new BadConfig(
+          "works.jump must be above 1, and works.refusals above 0 and 1 at the most");
     }
     return options;
   }
--- a/src/main/java/umberrun/core/Attempt.java
+++ b/src/main/java/umberrun/core/Attempt.java
@@ -13,6 +13,7 @@
   private final int worker;
   final long sentAt;
   private final long deadline;
+
   /** How it ended, or null while it is out. */
   private Code end;
 
@@ -38,7 +39,9 @@
     return deadline;
   }
 
-  /** Guards against a second end of the same attempt: an answer that crosses a time-out or a reset. */
+  /**
+   * Guards against a second end of the same attempt: an answer that crosses a time-out or a reset.
+   */
   public void end(Ending ending) {
     if (end == null) {
       end = ending.code();
@@ -47,14 +50,17 @@
   }
 
   /**
-   * Whether it may still be written, asked in that instant: it may have waited for a connection. Guards the caller who has gone or
-   * has the answer by now, and rule 2: what may have run before allows a repeat only for so long.
+   * Whether it may still be written, asked in that instant: it may have waited for a connection.
+   * Guards the caller who has gone or has the answer by now, and rule 2: what may have run before
+   * allows a repeat only for so long.
    */
   public boolean isWanted(long now) {
     CallClass kind = owner.settings().classes().get(call.request.callClass());
     long window = kind.effect() == Effect.KEYED ? kind.dedupWindow() : 0;
-    return call.isAwaited() && (kind.effect() == Effect.SAFE
-        || call.attempts.stream().noneMatch(a -> a != this && a.mayHaveRun() && now - a.sentAt >= window));
+    return call.isAwaited()
+        && (kind.effect() == Effect.SAFE
+            || call.attempts.stream()
+                .noneMatch(a -> a != this && a.mayHaveRun() && now - a.sentAt >= window));
   }
 
   private boolean mayHaveRun() {
--- a/src/main/java/umberrun/core/Bans.java
+++ b/src/main/java/umberrun/core/Bans.java
@@ -9,8 +9,9 @@
 import saddlestall.Dispatcher.State;
 
 /**
- * What operators have said of workers by hand, laid over what the list says of them. Free of I/O; times are in
- * microseconds. A ban outlives whatever the list says, also that the worker is gone or back.
+ * What operators have said of workers by hand, laid over what the list says of them. Free of I/O;
+ * times are in microseconds. A ban outlives whatever the list says, also that the worker is gone or
+ * back.
  */
 final class Bans {
   /**
@@ -22,21 +23,29 @@
   record Standing(State state, long stopAt, long since) {
     /** The same for a worker of which nobody knows by now whether it drains. */
     Standing heldBack(long leaseEnds) {
-      return new Standing(state == State.READY ? State.DRAINING : state, Math.min(stopAt, leaseEnds), since);
+      return new Standing(
+          state == State.READY ? State.DRAINING : state, Math.min(stopAt, leaseEnds), since);
     }
   }
 
   static final long NEVER = Long.MAX_VALUE;
-  /** Part of a drain's grace left unused: the way to the worker takes time, and a pause of ours must not matter. */
+
+  /**
+   * Part of a drain's grace left unused: the way to the worker takes time, and a pause of ours must
+   * not matter.
+   */
   private static final long DRAIN_EARLY = 200_000;
 
   private final long grace;
   private Map<String, Long> out = new HashMap<>();
   private Map<String, Long> back = new HashMap<>();
+
   /** Out by plans of the whole fleet, a set beside what operators say at this front end's door. */
   private Map<String, Long> settled = new HashMap<>();
 
-  /** @param drainGrace how long after the list's word work may still go to a worker that drains */
+  /**
+   * @param drainGrace how long after the list's word work may still go to a worker that drains
+   */
   Bans(long drainGrace) {
     this.grace = Math.max(0, drainGrace - DRAIN_EARLY);
   }
@@ -52,7 +61,10 @@
     back.remove(worker);
   }
 
-  /** Ends a ban, however often it was called for. The worker was restarted meanwhile, so it counts as new. */
+  /**
+   * Ends a ban, however often it was called for. The worker was restarted meanwhile, so it counts
+   * as new.
+   */
   void resume(String worker, long now) {
     if (out.remove(worker) != null) {
       back.put(worker, now);
@@ -85,7 +97,8 @@
   }
 
   /**
-   * What plans have out from now on, whatever was out by them before; the names for which that changes anything.
+   * What plans have out from now on, whatever was out by them before; the names for which that
+   * changes anything.
    *
    * @param cold of those that were out, the ones that were worked on and count as new
    */
@@ -93,17 +106,23 @@
     Map<String, Long> next = new HashMap<>();
     nowOut.forEach(name -> next.put(name, settled.getOrDefault(name, now)));
     Set<String> changed = changed(settled, next);
-    settled.keySet().stream().filter(n -> !next.containsKey(n) && cold.contains(n)).forEach(n -> back.put(n, now));
+    settled.keySet().stream()
+        .filter(n -> !next.containsKey(n) && cold.contains(n))
+        .forEach(n -> back.put(n, now));
     settled = next;
     return changed;
   }
 
-  /** What holds for a worker of which the list said this, for the first time at {@code toldAt} (0: it is ready). */
+  /**
+   * What holds for a worker of which the list said this, for the first time at {@code toldAt} (0:
+   * it is ready).
+   */
   Standing over(String worker, State listed, long toldAt, long since) {
     long drained = toldAt == 0 ? NEVER : toldAt + grace;
     Long outAt = out.getOrDefault(worker, settled.get(worker));
     if (outAt != null) {
-      return new Standing(listed == State.READY ? State.DRAINING : listed, Math.min(drained, outAt), since);
+      return new Standing(
+          listed == State.READY ? State.DRAINING : listed, Math.min(drained, outAt), since);
     }
     return new Standing(listed, drained, Math.max(since, back.getOrDefault(worker, 0L)));
   }
--- a/src/main/java/umberrun/core/Bounded.java
+++ b/src/main/java/umberrun/core/Bounded.java
@@ -9,7 +9,9 @@
 
   private final int most;
 
-  /** @param byUse forgets the entry that was not asked for longest, else the one that came first */
+  /**
+   * @param byUse forgets the entry that was not asked for longest, else the one that came first
+   */
   Bounded(int most, boolean byUse) {
     super(64, 0.75f, byUse);
     this.most = most;
--- a/src/main/java/umberrun/core/Call.java
+++ b/src/main/java/umberrun/core/Call.java
@@ -9,16 +9,28 @@
   final Request request;
   final Reply reply;
   final long deadline;
+
   /** How long before that its answer leaves at the latest. */
   final long early;
+
   final List<Attempt> attempts = new ArrayList<>(1);
+
   /** The module's timers of this call and the last guard, cancelled when it is over. */
   final List<Long> timers = new ArrayList<>(2);
-  /** Whether an attempt may have had its effect: one is out, or ended without proof that it never ran. */
+
+  /**
+   * Whether an attempt may have had its effect: one is out, or ended without proof that it never
+   * ran.
+   */
   boolean mayHaveRun;
+
   int out;
   boolean over;
-  /** Whether its caller has gone: said at once, while the owner's queue may take longer to get there. */
+
+  /**
+   * Whether its caller has gone: said at once, while the owner's queue may take longer to get
+   * there.
+   */
   private boolean left;
 
   Call(int id, Request request, Reply reply, long deadline, long early) {
@@ -34,7 +46,10 @@
     return over;
   }
 
-  /** Says whether anybody waits for the answer; while nobody does, what is out may end, but nothing more is sent. */
+  /**
+   * Says whether anybody waits for the answer; while nobody does, what is out may end, but nothing
+   * more is sent.
+   */
   void attended(boolean attended) {
     left = !attended;
   }
--- a/src/main/java/umberrun/core/DiscoveryWatch.java
+++ b/src/main/java/umberrun/core/DiscoveryWatch.java
@@ -14,8 +14,9 @@
 import umberrun.stats.Counters.Count;
 
 /**
- * Carries out what the leases of workers call for: looks at them while discovery is out of reach, and says in the log who is held back,
- * since when and why. Sources of the list tell it of each contact; called on the owner's thread only.
+ * Carries out what the leases of workers call for: looks at them while discovery is out of reach,
+ * and says in the log who is held back, since when and why. Sources of the list tell it of each
+ * contact; called on the owner's thread only.
  */
 public final class DiscoveryWatch {
   /** What a change of leases is told to. */
@@ -27,7 +28,9 @@
     /** What holds for these workers has changed. */
     void restate(Collection<Integer> workers);
 
-    /** Work is wanted at these workers, the most urgent first; so many of them need it very soon. */
+    /**
+     * Work is wanted at these workers, the most urgent first; so many of them need it very soon.
+     */
     void renew(List<Integer> workers, int urgent);
   }
 
@@ -50,7 +53,14 @@
    * @param grace how long new work may go to a worker after its drain counts as told
    * @param salt another one at each front end
    */
-  DiscoveryWatch(Vertx vertx, Clock clock, Counters counters, Consumer<String> log, Consumer<Runnable> queue, long grace, int salt,
+  DiscoveryWatch(
+      Vertx vertx,
+      Clock clock,
+      Counters counters,
+      Consumer<String> log,
+      Consumer<Runnable> queue,
+      long grace,
+      int salt,
       Table table) {
     this.vertx = vertx;
     this.clock = clock;
@@ -78,12 +88,16 @@
     vertx.setTimer(WorkerLeases.REVIEW / 1_000, t -> beat());
   }
 
-  /** Discovery answered in full what it was asked at {@code askedAt}, and all that it told was handed over. */
+  /**
+   * Discovery answered in full what it was asked at {@code askedAt}, and all that it told was
+   * handed over.
+   */
   public void heard(long askedAt) {
-    queue.accept(() -> {
-      contact.heard(askedAt);
-      review();
-    });
+    queue.accept(
+        () -> {
+          contact.heard(askedAt);
+          review();
+        });
   }
 
   /** Discovery answers elsewhere from now on, as was told at {@code at}. */
@@ -97,17 +111,24 @@
     queue.accept(() -> contact.brokeOff(at));
   }
 
-  /** What is left of the leases, by name, for a process that takes over; null while there is no discovery to lose. */
+  /**
+   * What is left of the leases, by name, for a process that takes over; null while there is no
+   * discovery to lose.
+   */
   Map<String, Long> left() {
     if (!contact.isFollowed()) {
       return null;
     }
     Map<String, Long> named = new java.util.TreeMap<>();
-    leases.left(clock.now(), table.workers()).forEach((worker, left) -> named.put(table.name(worker), left));
+    leases
+        .left(clock.now(), table.workers())
+        .forEach((worker, left) -> named.put(table.name(worker), left));
     return named;
   }
 
-  /** Goes on with the leases of the process that this one replaces, as they stood {@code age} ago. */
+  /**
+   * Goes on with the leases of the process that this one replaces, as they stood {@code age} ago.
+   */
   void takeOver(Map<Integer, Long> left, long age) {
     leases.takeOver(left, clock.now() - age, startedWith);
     review();
@@ -146,14 +167,23 @@
     review.heldBack().forEach(w -> counters.add(Count.WORKERS_HELD_BACK));
     review.released().forEach(w -> counters.add(Count.WORKERS_RELEASED));
     if (!review.heldBack().isEmpty()) {
-      log.accept("held back, as discovery was last heard " + lastHeard(now) + " and they took on no work since: "
-          + names(review.heldBack()));
+      log.accept(
+          "held back, as discovery was last heard "
+              + lastHeard(now)
+              + " and they took on no work since: "
+              + names(review.heldBack()));
     }
     if (!review.released().isEmpty()) {
-      log.accept((away ? "took on work, no longer held back: " : "discovery is heard, no longer held back: ") + names(review.released()));
+      log.accept(
+          (away
+                  ? "took on work, no longer held back: "
+                  : "discovery is heard, no longer held back: ")
+              + names(review.released()));
     }
     if (!review.restarted().isEmpty()) {
-      log.accept("started anew as far as can be told without discovery, or no longer so: " + names(review.restarted()));
+      log.accept(
+          "started anew as far as can be told without discovery, or no longer so: "
+              + names(review.restarted()));
     }
   }
 
@@ -164,6 +194,8 @@
   }
 
   private String lastHeard(long now) {
-    return contact.isHeard() ? (now - contact.heardAt()) / 1_000 + " ms ago" : "by the process before this one";
+    return contact.isHeard()
+        ? (now - contact.heardAt()) / 1_000 + " ms ago"
+        : "by the process before this one";
   }
 }
--- a/src/main/java/umberrun/core/Duty.java
+++ b/src/main/java/umberrun/core/Duty.java
@@ -1,22 +1,42 @@
 package umberrun.core;
 
 /**
- * What this process owes its clients at a moment: it serves, is drained by hand, leaves, or hands over to a successor
- * at the same address. Free of I/O; times are in microseconds of one clock that never goes back.
+ * What this process owes its clients at a moment: it serves, is drained by hand, leaves, or hands
+ * over to a successor at the same address. Free of I/O; times are in microseconds of one clock that
+ * never goes back.
  */
 public final class Duty {
   /** The states. A process that leaves or hands over never comes back from it. */
-  public enum State { STARTING, SERVING, DRAINED, LEAVING, HANDING_OVER }
+  public enum State {
+    STARTING,
+    SERVING,
+    DRAINED,
+    LEAVING,
+    HANDING_OVER
+  }
 
-  /** The front in front of us asks ten times a second and sends no new connections 0.2 s after a no. */
+  /**
+   * The front in front of us asks ten times a second and sends no new connections 0.2 s after a no.
+   */
   private static final long HEARD_NO = 400_000;
+
   /** After SIGTERM connections and calls keep coming for at most this long. */
   private static final long STILL_COMING = 700_000;
-  /** A connection with a call of the last 2 s is held against a drained front end 4 s after the drain. */
+
+  /**
+   * A connection with a call of the last 2 s is held against a drained front end 4 s after the
+   * drain.
+   */
   private static final long DRAINED_TAKES = 1_900_000;
+
   private static final long DRAINED_ENDS = 3_200_000;
-  /** A process that was told to end is killed after the longest deadline, counted as this at most, and 0.7 s. */
+
+  /**
+   * A process that was told to end is killed after the longest deadline, counted as this at most,
+   * and 0.7 s.
+   */
   private static final long LONGEST_COUNTED = 3_000_000;
+
   /** Before that, what is still open gets an answer. */
   private static final long ENDS_EARLY = 250_000;
 
@@ -24,7 +44,9 @@
   private State state = State.STARTING;
   private long since;
 
-  /** @param longestDeadline of all classes */
+  /**
+   * @param longestDeadline of all classes
+   */
   public Duty(long longestDeadline) {
     this.lasts = Math.min(longestDeadline, LONGEST_COUNTED) + STILL_COMING - ENDS_EARLY;
   }
@@ -53,7 +75,9 @@
     return state == State.DRAINED;
   }
 
-  /** Told by hand to take clients again, also in the middle of a drain; a process that ends can't. */
+  /**
+   * Told by hand to take clients again, also in the middle of a drain; a process that ends can't.
+   */
   public boolean activate(long now) {
     if (state == State.DRAINED) {
       enter(State.SERVING, now);
@@ -78,7 +102,10 @@
     return state == State.SERVING;
   }
 
-  /** Whether heartbeats say yes: while handing over they do, since the front end as a whole takes clients. */
+  /**
+   * Whether heartbeats say yes: while handing over they do, since the front end as a whole takes
+   * clients.
+   */
   public boolean isFit() {
     return state == State.SERVING || state == State.HANDING_OVER;
   }
@@ -97,7 +124,10 @@
     };
   }
 
-  /** Whether a connection whose last call came at {@code lastCall} is ended with whatever is open on it. */
+  /**
+   * Whether a connection whose last call came at {@code lastCall} is ended with whatever is open on
+   * it.
+   */
   public boolean cuts(long now, long lastCall) {
     return switch (state) {
       case DRAINED -> now - since >= DRAINED_ENDS && lastCall - since >= DRAINED_TAKES;
--- a/src/main/java/umberrun/core/Endpoint.java
+++ b/src/main/java/umberrun/core/Endpoint.java
@@ -8,5 +8,13 @@
  * @param zone position in the settings' zones; likewise {@code kind}
  * @param since Unix microsecond of a late start, or 0
  */
-public record Endpoint(String name, String host, int port, int zone, int kind, int cell, State state,
-    double weight, long since) { }
+public record Endpoint(
+    String name,
+    String host,
+    int port,
+    int zone,
+    int kind,
+    int cell,
+    State state,
+    double weight,
+    long since) {}
--- a/src/main/java/umberrun/core/Hearsay.java
+++ b/src/main/java/umberrun/core/Hearsay.java
@@ -21,32 +21,41 @@
 import umberrun.learning.Knowledge;
 import umberrun.learning.Screen;
 
-/** Between facts, which have names and origins, and the module, which has numbers: what it saw, and what it is told. */
+/**
+ * Between facts, which have names and origins, and the module, which has numbers: what it saw, and
+ * what it is told.
+ */
 final class Hearsay {
   private static final int MOST_FACTS = 8_192;
   private static final int MOST_UNCHECKED = 4_096;
   private static final int MOST_EARLY = 2_048;
   private static final long SECOND = 1_000_000;
+
   /** What is older than this is of no use: functions give way to others every 14 to 25 s. */
   private static final long MOST_AGE = 30 * SECOND;
+
   /** Half-lives to begin with; what is heard of copies is checked against answers from then on. */
   private static final long WORKER_LIFE = 15 * SECOND;
+
   private static final long FUNCTION_LIFE = 20 * SECOND;
 
   /** A copy that we were told of and have not seen yet. */
-  private record Place(int worker, long function) { }
+  private record Place(int worker, long function) {}
 
   private final String origin = UUID.randomUUID().toString().substring(0, 13);
   private final Knowledge knowledge = new Knowledge(MOST_FACTS);
   private final Calibration calibration;
   private final Screen screen;
   private final Map<Place, Long> unchecked = new HashMap<>();
+
   /** Facts about workers that the own list does not name yet: it may come after them. */
   private final Set<Fact> early = new LinkedHashSet<>();
 
   Hearsay(Settings settings) {
     long keep = settings.loads().keep() > 0 ? settings.loads().keep() : 10 * SECOND;
-    calibration = new Calibration(Map.of(Kind.COPY, keep, Kind.WORKER, WORKER_LIFE, Kind.FUNCTION, FUNCTION_LIFE));
+    calibration =
+        new Calibration(
+            Map.of(Kind.COPY, keep, Kind.WORKER, WORKER_LIFE, Kind.FUNCTION, FUNCTION_LIFE));
     screen = new Screen(settings.rules().cold(), MOST_AGE);
   }
 
@@ -65,17 +74,24 @@
 
   private Fact fact(Known known, IntFunction<String> nameOf, long now) {
     if (known instanceof KnownFunction f) {
-      return new Fact(new Subject(Kind.FUNCTION, "", f.function()),
-          new Value(f.callClass(), f.lanes(), f.loadTime(), f.recent()), origin, now - f.age());
+      return new Fact(
+          new Subject(Kind.FUNCTION, "", f.function()),
+          new Value(f.callClass(), f.lanes(), f.loadTime(), f.recent()),
+          origin,
+          now - f.age());
     }
-    String name = nameOf.apply(known instanceof KnownCopy c ? c.worker() : ((KnownWorker) known).worker());
+    String name =
+        nameOf.apply(known instanceof KnownCopy c ? c.worker() : ((KnownWorker) known).worker());
     if (name == null) { // it went before its calls ended
       return null;
     }
     return known instanceof KnownCopy c
         ? new Fact(new Subject(Kind.COPY, name, c.function()), Value.NONE, origin, now - c.age())
-        : new Fact(new Subject(Kind.WORKER, name, 0), new Value(((KnownWorker) known).pace(),
-            ((KnownWorker) known).bad(), 0, 0), origin, now);
+        : new Fact(
+            new Subject(Kind.WORKER, name, 0),
+            new Value(((KnownWorker) known).pace(), ((KnownWorker) known).bad(), 0, 0),
+            origin,
+            now);
   }
 
   /** Keeps a fact whose worker is not known until the list has news. */
@@ -98,7 +114,9 @@
 
   /** Takes down what another instance saw; what the module is to be told of it, or null. */
   Known heard(Fact fact, int worker, Screen.Standing standing, long now) {
-    if (fact.origin().equals(origin) || !screen.admits(fact, standing, now) || !knowledge.merge(fact)) {
+    if (fact.origin().equals(origin)
+        || !screen.admits(fact, standing, now)
+        || !knowledge.merge(fact)) {
       return null;
     }
     Subject s = fact.subject();
@@ -113,7 +131,8 @@
         yield new KnownCopy(worker, s.function(), age, weight);
       }
       case WORKER -> new KnownWorker(worker, v.a(), v.b(), age, weight);
-      case FUNCTION -> new KnownFunction(s.function(), (int) v.a(), v.b(), (long) v.c(), v.d(), age, weight);
+      case FUNCTION ->
+          new KnownFunction(s.function(), (int) v.a(), v.b(), (long) v.c(), v.d(), age, weight);
     };
   }
 
--- a/src/main/java/umberrun/core/Invocation.java
+++ b/src/main/java/umberrun/core/Invocation.java
@@ -14,8 +14,13 @@
   private final List<Consumer<Result>> waiters = new ArrayList<>(1);
   private Result result;
   Call call;
-  /** Whether somebody was told where to collect the result, though the call began as a synchronous one. */
+
+  /**
+   * Whether somebody was told where to collect the result, though the call began as a synchronous
+   * one.
+   */
   boolean promised;
+
   long timer = -1;
   long endedAt;
 
@@ -68,7 +73,8 @@
 
   /** Whether a request under the same key is the same call again. */
   boolean isRepeat(Request r) {
-    return r.callClass() == request.callClass() && r.function() == request.function()
+    return r.callClass() == request.callClass()
+        && r.function() == request.function()
         && r.body().equals(request.body());
   }
 
--- a/src/main/java/umberrun/core/Invocations.java
+++ b/src/main/java/umberrun/core/Invocations.java
@@ -12,9 +12,10 @@
 import umberrun.stats.Counters.Count;
 
 /**
- * Synchronous and deferred calls over the owner. A deferred call waits in a bounded queue of its own and only so
- * many are in hand at once, so that synchronous calls find room however many pile up. Under a key there is one
- * invocation: a repeat joins it, and nothing is sent a second time by it.
+ * Synchronous and deferred calls over the owner. A deferred call waits in a bounded queue of its
+ * own and only so many are in hand at once, so that synchronous calls find room however many pile
+ * up. Under a key there is one invocation: a repeat joins it, and nothing is sent a second time by
+ * it.
  */
 public final class Invocations {
   /** A key that was used for another call. */
@@ -26,8 +27,11 @@
     }
   }
 
-  /** Bounds: deferred calls that wait and that are in hand, results kept, their bytes, and for how long. */
-  public record Bounds(int queue, int inHand, int results, long resultBytes, long keepMillis) { }
+  /**
+   * Bounds: deferred calls that wait and that are in hand, results kept, their bytes, and for how
+   * long.
+   */
+  public record Bounds(int queue, int inHand, int results, long resultBytes, long keepMillis) {}
 
   private static final long FULL_BACKOFF_MILLIS = 1_000;
 
@@ -40,8 +44,10 @@
   private final Map<String, Invocation> byId = new HashMap<>();
   private final Map<String, Invocation> byKey = new HashMap<>();
   private final ArrayDeque<Invocation> queue = new ArrayDeque<>();
+
   /** Those that have ended, the oldest first. */
   private final LinkedHashSet<Invocation> ended = new LinkedHashSet<>();
+
   private int inHand;
   private long bytes;
 
@@ -51,7 +57,8 @@
     this.owner = owner;
     this.counters = counters;
     this.bounds = bounds;
-    this.window = owner.settings().classes().stream().mapToLong(c -> c.dedupWindow()).max().orElse(0);
+    this.window =
+        owner.settings().classes().stream().mapToLong(c -> c.dedupWindow()).max().orElse(0);
   }
 
   /**
@@ -76,8 +83,13 @@
       }
       return before;
     }
-    Invocation i = new Invocation(UUID.randomUUID().toString(), scope, request, deferred,
-        clock.now() + request.patience());
+    Invocation i =
+        new Invocation(
+            UUID.randomUUID().toString(),
+            scope,
+            request,
+            deferred,
+            clock.now() + request.patience());
     boolean full = deferred && queue.size() >= bounds.queue;
     if (full || (deferred || scope != null) && !makeRoom()) {
       counters.add(Count.DEFERRED_TURNED_AWAY);
@@ -94,13 +106,17 @@
     counters.add(Count.DEFERRED_TAKEN);
     byId.put(i.id(), i);
     queue.add(i);
-    // Guards against a call that waits here past its time: it never ran, so trying again does no harm.
-    i.timer = vertx.setTimer(Math.max(1, request.patience() / 1_000), t -> {
-      i.timer = -1;
-      if (queue.remove(i)) {
-        end(i, new Result.Refused(FULL_BACKOFF_MILLIS, false));
-      }
-    });
+    // Guards against a call that waits here past its time: it never ran, so trying again does no
+    // harm.
+    i.timer =
+        vertx.setTimer(
+            Math.max(1, request.patience() / 1_000),
+            t -> {
+              i.timer = -1;
+              if (queue.remove(i)) {
+                end(i, new Result.Refused(FULL_BACKOFF_MILLIS, false));
+              }
+            });
     pump();
     return i;
   }
@@ -109,7 +125,10 @@
     return byId.get(id);
   }
 
-  /** The client wants the answer no more. What may have run keeps its key, so that a repeat is not sent again. */
+  /**
+   * The client wants the answer no more. What may have run keeps its key, so that a repeat is not
+   * sent again.
+   */
   public void giveUp(Invocation i) {
     if (i.result() != null) {
       drop(i);
@@ -123,8 +142,9 @@
   }
 
   /**
-   * One who waited has gone. A call that nobody can ask for again is given up with the last of them; for one that a repeat may join
-   * nothing more is sent until that comes, and what is out may end.
+   * One who waited has gone. A call that nobody can ask for again is given up with the last of
+   * them; for one that a repeat may join nothing more is sent until that comes, and what is out may
+   * end.
    */
   public void leave(Invocation i, Consumer<Result> waiter) {
     i.forget(waiter);
@@ -151,22 +171,25 @@
 
   private void start(Invocation i) {
     Request r = i.request.withPatience(Math.max(1, i.deadline - clock.now()));
-    i.call = owner.take(r, new Reply() {
-      @Override
-      public void served(Buffer body) {
-        over(i, new Result.Served(body));
-      }
-
-      @Override
-      public void refused(long backoffMillis) {
-        over(i, new Result.Refused(backoffMillis, false));
-      }
-
-      @Override
-      public void failed(boolean overdue) {
-        over(i, new Result.Failed(overdue));
-      }
-    });
+    i.call =
+        owner.take(
+            r,
+            new Reply() {
+              @Override
+              public void served(Buffer body) {
+                over(i, new Result.Served(body));
+              }
+
+              @Override
+              public void refused(long backoffMillis) {
+                over(i, new Result.Refused(backoffMillis, false));
+              }
+
+              @Override
+              public void failed(boolean overdue) {
+                over(i, new Result.Failed(overdue));
+              }
+            });
   }
 
   private void over(Invocation i, Result r) {
@@ -207,7 +230,9 @@
   private void drop(Invocation i) {
     cancelTimer(i);
     byId.remove(i.id(), i);
-    if (i.scope != null && clock.now() - i.endedAt < window && !(i.result() instanceof Result.Refused)
+    if (i.scope != null
+        && clock.now() - i.endedAt < window
+        && !(i.result() instanceof Result.Refused)
         && i.call != null) {
       long left = window - (clock.now() - i.endedAt);
       i.timer = vertx.setTimer(left / 1_000 + 1, t -> drop(i));
--- a/src/main/java/umberrun/core/LagMeter.java
+++ b/src/main/java/umberrun/core/LagMeter.java
@@ -21,7 +21,10 @@
     next();
   }
 
-  /** Each beat sets the next: the library makes up for missed ones of a steady timer at once, and the lateness would fade with each. */
+  /**
+   * Each beat sets the next: the library makes up for missed ones of a steady timer at once, and
+   * the lateness would fade with each.
+   */
   private void next() {
     dueAt = clock.now() + BEAT_MILLIS * 1_000;
     vertx.setTimer(BEAT_MILLIS, t -> beat());
@@ -32,7 +35,10 @@
     next();
   }
 
-  /** The worst lateness of the last moments, fading, in microseconds; also of a beat that is overdue now. */
+  /**
+   * The worst lateness of the last moments, fading, in microseconds; also of a beat that is overdue
+   * now.
+   */
   long lag() {
     return (long) Math.max(lag, clock.now() - dueAt);
   }
--- a/src/main/java/umberrun/core/LeaseGate.java
+++ b/src/main/java/umberrun/core/LeaseGate.java
@@ -1,8 +1,14 @@
 package umberrun.core;
 
-/** What the connections to workers ask and tell of leases; see {@link umberrun.discovery.WorkerLeases}. */
+/**
+ * What the connections to workers ask and tell of leases; see {@link
+ * umberrun.discovery.WorkerLeases}.
+ */
 public interface LeaseGate {
-  /** Until when new work may be written to a worker as far as contact with discovery goes, in microseconds on the owner's clock. */
+  /**
+   * Until when new work may be written to a worker as far as contact with discovery goes, in
+   * microseconds on the owner's clock.
+   */
   long leaseUntil(int worker);
 
   /** A worker's address refused a connection. */
--- a/src/main/java/umberrun/core/Owner.java
+++ b/src/main/java/umberrun/core/Owner.java
@@ -54,25 +54,43 @@
 import umberrun.stats.Counters.Count;
 
 /**
- * The one task that owns the decision module. Whatever happens on a socket comes in through {@link #post};
- * the queue is worked off in order on one Vert.x context, each event is handed to the module with a clock that
- * never goes back, and the actions it answers with are carried out in the order given.
+ * The one task that owns the decision module. Whatever happens on a socket comes in through {@link
+ * #post}; the queue is worked off in order on one Vert.x context, each event is handed to the
+ * module with a clock that never goes back, and the actions it answers with are carried out in the
+ * order given.
  */
 public final class Owner implements LeaseGate {
-  /** Answers leave this much before the client's time is up: a pause of this machine must not make them late. */
+  /**
+   * Answers leave this much before the client's time is up: a pause of this machine must not make
+   * them late.
+   */
   private static final long ANSWER_EARLY = 30_000;
-  /** But no larger part of that time is given away: some clients wait for little longer than the work takes. */
+
+  /**
+   * But no larger part of that time is given away: some clients wait for little longer than the
+   * work takes.
+   */
   private static final long EARLY_PART = 20;
-  /** Calls in hand, and bytes of their bodies, beyond which a call is refused unseen: the memory is small. */
+
+  /**
+   * Calls in hand, and bytes of their bodies, beyond which a call is refused unseen: the memory is
+   * small.
+   */
   private static final int MOST_CALLS = 4_096;
+
   private static final long MOST_BYTES = 12 << 20;
+
   /** Spellings of functions kept to write orders with; the module forgets functions sooner. */
   private static final int MOST_FUNCTIONS = 16_384;
+
   /** Origins of facts that a hall's prober found. */
   public static final String PROBER = "probe/";
+
   private static final long GUARD_BACKOFF_MILLIS = 250;
+
   /** A machine later than this takes nothing new: what it takes it could not answer in time. */
   private static final long MOST_LAG = 150_000;
+
   private static final long LITTLE_LAG = 50_000;
 
   private final Vertx vertx;
@@ -86,21 +104,28 @@
   private final ArrayDeque<Runnable> queue = new ArrayDeque<>();
   private final ArrayDeque<Action> actions = new ArrayDeque<>();
   private final Map<Integer, Call> calls = new HashMap<>();
+
   /** The ids of calls in hand, also of those given up whose attempts are still out. */
   private final Set<Buffer> rids = new HashSet<>();
+
   private final LagMeter lag;
   private final Roster roster = new Roster();
   private final Bans bans;
   private final DiscoveryWatch discovery;
   private final Hearsay hearsay;
   private final Map<Long, Buffer> functions = new Bounded<>(MOST_FUNCTIONS, true);
+
   /** Attempts and orders that are out, by worker. */
   private final Map<Integer, Integer> out = new HashMap<>();
+
   /** Workers that a prober of their hall says do not answer. */
   private final Set<String> toldFailing = new HashSet<>();
+
   private long bytesInHand;
+
   /** Calls that have no answer yet. */
   private int owed;
+
   private int nextCall = 1;
   private boolean scheduled;
   private Runnable whenIdle;
@@ -109,8 +134,15 @@
    * @param module makes the module, given where its first actions go
    * @param workers makes the way to the workers, given this owner
    */
-  public Owner(Vertx vertx, Context context, Clock clock, Counters counters, Settings settings,
-      Consumer<String> log, Function<Consumer<Action>, Dispatcher> module, Function<Owner, WorkerPort> workers) {
+  public Owner(
+      Vertx vertx,
+      Context context,
+      Clock clock,
+      Counters counters,
+      Settings settings,
+      Consumer<String> log,
+      Function<Consumer<Action>, Dispatcher> module,
+      Function<Owner, WorkerPort> workers) {
     this.vertx = vertx;
     this.context = context;
     this.clock = clock;
@@ -120,7 +152,16 @@
     this.lag = new LagMeter(vertx, clock);
     this.hearsay = new Hearsay(settings);
     this.bans = new Bans(settings.rules().drainGrace());
-    this.discovery = new DiscoveryWatch(vertx, clock, counters, log, this::post, bans.grace(), hearsay.origin().hashCode(), new Leased());
+    this.discovery =
+        new DiscoveryWatch(
+            vertx,
+            clock,
+            counters,
+            log,
+            this::post,
+            bans.grace(),
+            hearsay.origin().hashCode(),
+            new Leased());
     this.workers = workers.apply(this);
     this.module = module.apply(actions::add);
     post(this::carryOut);
@@ -177,7 +218,10 @@
     }
   }
 
-  /** A late machine reads on first: guards callers who have gone, as what they said behind their calls lies unread by now. */
+  /**
+   * A late machine reads on first: guards callers who have gone, as what they said behind their
+   * calls lies unread by now.
+   */
   private void onceRead(Runnable step) {
     if (lag.lag() <= LITTLE_LAG) {
       step.run();
@@ -188,12 +232,15 @@
 
   private void work() {
     scheduled = false;
-    for (int n = queue.size(); n > 0; n--) { // what is queued meanwhile waits, so that sockets get their turn
+    for (int n = queue.size();
+        n > 0;
+        n--) { // what is queued meanwhile waits, so that sockets get their turn
       try {
         queue.poll().run();
       } catch (RuntimeException e) { // guards against a fault in one step ending all calls
         counters.add(Count.MODULE_FAULTS);
-        log.accept("fault: " + e + " at " + (e.getStackTrace().length > 0 ? e.getStackTrace()[0] : "?"));
+        log.accept(
+            "fault: " + e + " at " + (e.getStackTrace().length > 0 ? e.getStackTrace()[0] : "?"));
       }
     }
     schedule();
@@ -208,7 +255,7 @@
   }
 
   private void carryOut() {
-    for (Action a; (a = actions.poll()) != null;) {
+    for (Action a; (a = actions.poll()) != null; ) {
       carryOut(a);
     }
   }
@@ -226,7 +273,9 @@
       counters.add(Count.ORDERS_SENT);
       discovery.leases().tried(a.worker(), clock.now());
       out.merge(a.worker(), 1, Integer::sum);
-      workers.hold(new Order(this, a.worker(), a.function(), spelling(a.function()), a.copies(), clock.now()));
+      workers.hold(
+          new Order(
+              this, a.worker(), a.function(), spelling(a.function()), a.copies(), clock.now()));
     } else if (action instanceof Drop a) {
       workers.free(a.worker(), spelling(a.function()));
     } else if (action instanceof Cancel a) {
@@ -245,7 +294,9 @@
 
   // ---------------------------------------------------------------- calls
 
-  /** Whether a call with this id is in hand, so that the workers could not tell another one from it. */
+  /**
+   * Whether a call with this id is in hand, so that the workers could not tell another one from it.
+   */
   public boolean holds(Buffer rid) {
     return rids.contains(rid);
   }
@@ -253,9 +304,16 @@
   /** Takes a call; its answer goes to {@code reply}. */
   public Call take(Request request, Reply reply) {
     long now = clock.now();
-    // The client has waited since it wrote the call, which may have lain unread for as long as we are late.
+    // The client has waited since it wrote the call, which may have lain unread for as long as we
+    // are late.
     long patience = Math.max(1, request.patience() - lag.lag());
-    Call call = new Call(nextCall++, request, reply, now + patience, Math.min(ANSWER_EARLY, patience / EARLY_PART));
+    Call call =
+        new Call(
+            nextCall++,
+            request,
+            reply,
+            now + patience,
+            Math.min(ANSWER_EARLY, patience / EARLY_PART));
     counters.add(Count.CALLS_TAKEN);
     owed++;
     calls.put(call.id, call);
@@ -268,12 +326,13 @@
   /** The client no longer waits for an answer. */
   public void leave(Call call) {
     call.attended(false);
-    post(() -> {
-      if (!call.over) {
-        end(call, Count.CALLS_LEFT, r -> { });
-        tell(new Left(call.id));
-      }
-    });
+    post(
+        () -> {
+          if (!call.over) {
+            end(call, Count.CALLS_LEFT, r -> {});
+            tell(new Left(call.id));
+          }
+        });
   }
 
   private void begin(Call call) {
@@ -287,9 +346,21 @@
     }
     functions.put(r.function(), r.functionBytes());
     long left = call.deadline - clock.now();
-    call.timers.add(vertx.setTimer(Math.max(1, (left - call.early / 3) / 1_000), t -> post(() -> guard(call))));
-    tell(new Dispatcher.Call(call.id, Math.max(1_000, left - call.early), 0, r.function(), r.figures().lanes(),
-        r.figures().memoryMb(), r.callClass(), r.tenant(), r.repeat(), false, r.figures().loadTime()));
+    call.timers.add(
+        vertx.setTimer(Math.max(1, (left - call.early / 3) / 1_000), t -> post(() -> guard(call))));
+    tell(
+        new Dispatcher.Call(
+            call.id,
+            Math.max(1_000, left - call.early),
+            0,
+            r.function(),
+            r.figures().lanes(),
+            r.figures().memoryMb(),
+            r.callClass(),
+            r.tenant(),
+            r.repeat(),
+            false,
+            r.figures().loadTime()));
   }
 
   /** Guards against a call that the module leaves without an answer. */
@@ -303,8 +374,11 @@
 
   private void refuse(Call call, long backoffMillis) {
     if (call != null && !call.over) {
-      boolean safe = settings.classes().get(call.request.callClass()).effect() == Dispatcher.Effect.SAFE;
-      if (!safe && (call.mayHaveRun || call.out > 0)) { // guards rule 2: 'try again' only where that is harmless
+      boolean safe =
+          settings.classes().get(call.request.callClass()).effect() == Dispatcher.Effect.SAFE;
+      if (!safe
+          && (call.mayHaveRun
+              || call.out > 0)) { // guards rule 2: 'try again' only where that is harmless
         fail(call);
         return;
       }
@@ -344,7 +418,19 @@
     Call call = calls.get(a.call());
     long now = clock.now();
     if (call == null) { // guards against a module that goes on with a call that is over
-      post(() -> tell(new Outcome(a.call(), 0, a.worker(), Code.MOOT, 0, true, Dispatcher.Note.NONE, -1, null)));
+      post(
+          () ->
+              tell(
+                  new Outcome(
+                      a.call(),
+                      0,
+                      a.worker(),
+                      Code.MOOT,
+                      0,
+                      true,
+                      Dispatcher.Note.NONE,
+                      -1,
+                      null)));
       return;
     }
     long last = call.deadline - call.early;
@@ -356,7 +442,8 @@
     if (call.isAwaited()) {
       counters.add(Count.ATTEMPTS_SENT);
       workers.run(attempt);
-    } else { // guards rule 1, and callers who have gone: nothing is sent for a call that has its answer or wants none
+    } else { // guards rule 1, and callers who have gone: nothing is sent for a call that has its
+      // answer or wants none
       attempt.end(Ending.of(Code.MOOT));
     }
   }
@@ -381,8 +468,17 @@
     }
     hearsay.check(attempt.worker(), call.request.function(), e.note(), clock.now());
     try {
-      tell(new Outcome(call.id, attempt.index, attempt.worker(), e.code(), clock.now() - attempt.sentAt, call.over,
-          e.note(), e.crowd(), e.report()));
+      tell(
+          new Outcome(
+              call.id,
+              attempt.index,
+              attempt.worker(),
+              e.code(),
+              clock.now() - attempt.sentAt,
+              call.over,
+              e.note(),
+              e.crowd(),
+              e.report()));
     } finally {
       release(call);
     }
@@ -414,20 +510,26 @@
   }
 
   /**
-   * Asks a worker how it is for others than the module; {@code then} is told whether it answered, and after how long. One that is
-   * not on the list, drains or is out is not asked.
+   * Asks a worker how it is for others than the module; {@code then} is told whether it answered,
+   * and after how long. One that is not on the list, drains or is out is not asked.
    */
   public void ask(String worker, BiConsumer<Boolean, Long> then) {
-    post(() -> {
-      Roster.Entry entry = roster.find(worker);
-      if (entry == null || standing(entry).state() != State.READY) {
-        then.accept(false, 0L);
-        return;
-      }
-      long asked = clock.now();
-      counters.add(Count.PROBES_SENT);
-      workers.probe(new Probing(this, entry.id(), asked, code -> then.accept(code == Code.OK, clock.now() - asked)));
-    });
+    post(
+        () -> {
+          Roster.Entry entry = roster.find(worker);
+          if (entry == null || standing(entry).state() != State.READY) {
+            then.accept(false, 0L);
+            return;
+          }
+          long asked = clock.now();
+          counters.add(Count.PROBES_SENT);
+          workers.probe(
+              new Probing(
+                  this,
+                  entry.id(),
+                  asked,
+                  code -> then.accept(code == Code.OK, clock.now() - asked)));
+        });
   }
 
   /** Names of the workers of a hall (all halls with -1) that may get work, in order. */
@@ -452,8 +554,11 @@
     if (a.token() >= 0 && (call == null || call.over)) {
       return;
     }
-    // Rounded up: the module looks at the clock again, and a timer that is early by a fraction finds nothing due.
-    long id = vertx.setTimer(Math.max(1, (a.delay() + 999) / 1_000), t -> post(() -> tell(new Due(a.token()))));
+    // Rounded up: the module looks at the clock again, and a timer that is early by a fraction
+    // finds nothing due.
+    long id =
+        vertx.setTimer(
+            Math.max(1, (a.delay() + 999) / 1_000), t -> post(() -> tell(new Due(a.token()))));
     if (call != null) {
       call.timers.add(id);
     }
@@ -463,26 +568,38 @@
 
   /** Takes news of the list: changes, or the whole of it, in which what is missing is gone. */
   public void list(ListKind kind, List<Endpoint> endpoints) {
-    post(() -> {
-      counters.add(Count.LIST_CHANGES);
-      long now = clock.now();
-      List<Member> members = new ArrayList<>();
-      List<Roster.Entry> missing = new ArrayList<>();
-      if (kind != ListKind.DELTA) {
-        roster.all().forEach(missing::add);
-      }
-      for (Endpoint e : endpoints) {
-        missing.removeIf(m -> m.endpoint().name().equals(e.name()));
-        take(e, now, members);
-      }
-      for (Roster.Entry m : missing) {
-        Endpoint e = m.endpoint();
-        take(new Endpoint(e.name(), e.host(), e.port(), e.zone(), e.kind(), e.cell(), State.GONE, e.weight(),
-            e.since()), now, members);
-      }
-      tell(new Members(kind, members));
-      believe(hearsay.takeEarly());
-    });
+    post(
+        () -> {
+          counters.add(Count.LIST_CHANGES);
+          long now = clock.now();
+          List<Member> members = new ArrayList<>();
+          List<Roster.Entry> missing = new ArrayList<>();
+          if (kind != ListKind.DELTA) {
+            roster.all().forEach(missing::add);
+          }
+          for (Endpoint e : endpoints) {
+            missing.removeIf(m -> m.endpoint().name().equals(e.name()));
+            take(e, now, members);
+          }
+          for (Roster.Entry m : missing) {
+            Endpoint e = m.endpoint();
+            take(
+                new Endpoint(
+                    e.name(),
+                    e.host(),
+                    e.port(),
+                    e.zone(),
+                    e.kind(),
+                    e.cell(),
+                    State.GONE,
+                    e.weight(),
+                    e.since()),
+                now,
+                members);
+          }
+          tell(new Members(kind, members));
+          believe(hearsay.takeEarly());
+        });
   }
 
   private void take(Endpoint e, long now, List<Member> members) {
@@ -498,15 +615,33 @@
   private Member stand(Roster.Entry entry) {
     Standing s = standing(entry);
     Endpoint e = entry.endpoint();
-    workers.update(entry.id(), new Endpoint(e.name(), e.host(), e.port(), e.zone(), e.kind(), e.cell(), s.state(),
-        e.weight(), s.since()), s.stopAt());
+    workers.update(
+        entry.id(),
+        new Endpoint(
+            e.name(),
+            e.host(),
+            e.port(),
+            e.zone(),
+            e.kind(),
+            e.cell(),
+            s.state(),
+            e.weight(),
+            s.since()),
+        s.stopAt());
     return member(entry, s);
   }
 
   private Standing standing(Roster.Entry entry) {
     Endpoint e = entry.endpoint();
-    Standing said = bans.over(e.name(), e.state(), entry.toldAt(), Math.max(e.since(), discovery.leases().startedAt(entry.id())));
-    return discovery.leases().isHeldBack(entry.id()) ? said.heldBack(discovery.leases().until(entry.id())) : said;
+    Standing said =
+        bans.over(
+            e.name(),
+            e.state(),
+            entry.toldAt(),
+            Math.max(e.since(), discovery.leases().startedAt(entry.id())));
+    return discovery.leases().isHeldBack(entry.id())
+        ? said.heldBack(discovery.leases().until(entry.id()))
+        : said;
   }
 
   /** The workers on the list, whose leases end while discovery is out of reach. */
@@ -546,50 +681,77 @@
   // ---------------------------------------------------------------- what operators say of workers
 
   /**
-   * Takes a worker out, or ends that, whatever the list says. Done once it holds here; false where no such worker was
-   * ever listed.
+   * Takes a worker out, or ends that, whatever the list says. Done once it holds here; false where
+   * no such worker was ever listed.
    *
    * @param at when it was said, which is kept where it is said again
    */
   public Future<Boolean> setOut(String worker, boolean out, long at) {
-    return inTurn(() -> {
-      boolean known = roster.wasListed(worker) || bans.isOut(worker);
-      if (known) {
-        if (out) {
-          bans.suspend(worker, at);
-        } else {
-          bans.resume(worker, at);
-        }
-        restate(List.of(worker));
-      }
-      return known;
-    });
+    return inTurn(
+        () -> {
+          boolean known = roster.wasListed(worker) || bans.isOut(worker);
+          if (known) {
+            if (out) {
+              bans.suspend(worker, at);
+            } else {
+              bans.resume(worker, at);
+            }
+            restate(List.of(worker));
+          }
+          return known;
+        });
   }
 
-  /** Takes over what another process of this front end has written of workers that are out and that came back. */
+  /**
+   * Takes over what another process of this front end has written of workers that are out and that
+   * came back.
+   */
   public Future<Void> setOut(Map<String, Long> out, Map<String, Long> back) {
-    return inTurn(() -> {
-      restate(bans.replace(out, back));
-      return null;
-    });
+    return inTurn(
+        () -> {
+          restate(bans.replace(out, back));
+          return null;
+        });
   }
 
-  /** A line for each worker on the list, and for each that is out but not on it: its name, state, and since when out. */
+  /**
+   * A line for each worker on the list, and for each that is out but not on it: its name, state,
+   * and since when out.
+   */
   public Future<String> hosts() {
-    return inTurn(() -> {
-      Map<String, String> lines = new TreeMap<>();
-      bans.out().forEach((name, at) -> lines.put(name, "unlisted"));
-      roster.all().forEach(e -> lines.put(e.endpoint().name(), e.endpoint().state().name().toLowerCase(Locale.ROOT)
-          + (discovery.leases().isHeldBack(e.id()) ? " held back since "
-              + Instant.ofEpochMilli(discovery.leases().heldBackSince(e.id()) / 1_000) : "")));
-      StringBuilder text = new StringBuilder();
-      lines.forEach((name, state) -> text.append(name).append(' ').append(state).append(bans.isOut(name)
-          ? " out since " + Instant.ofEpochMilli(bans.out().get(name) / 1_000) : "").append('\n'));
-      return text.toString();
-    });
-  }
-
-  // ---------------------------------------------------------------- what instances know of each other's
+    return inTurn(
+        () -> {
+          Map<String, String> lines = new TreeMap<>();
+          bans.out().forEach((name, at) -> lines.put(name, "unlisted"));
+          roster
+              .all()
+              .forEach(
+                  e ->
+                      lines.put(
+                          e.endpoint().name(),
+                          e.endpoint().state().name().toLowerCase(Locale.ROOT)
+                              + (discovery.leases().isHeldBack(e.id())
+                                  ? " held back since "
+                                      + Instant.ofEpochMilli(
+                                          discovery.leases().heldBackSince(e.id()) / 1_000)
+                                  : "")));
+          StringBuilder text = new StringBuilder();
+          lines.forEach(
+              (name, state) ->
+                  text.append(name)
+                      .append(' ')
+                      .append(state)
+                      .append(
+                          bans.isOut(name)
+                              ? " out since " + Instant.ofEpochMilli(bans.out().get(name) / 1_000)
+                              : "")
+                      .append('\n'));
+          return text.toString();
+        });
+  }
+
+  // ---------------------------------------------------------------- what instances know of each
+  // other's
 
   /** Who this instance is in the facts that it passes on; another one with every start. */
   public String origin() {
@@ -598,17 +760,27 @@
 
   /** All facts that this instance has: what it saw itself by now, and what it heard. */
   public Future<List<Fact>> facts() {
-    return inTurn(() -> {
-      long now = clock.now();
-      module.recall(now, known -> hearsay.saw(known, id -> {
-        Roster.Entry entry = roster.find(id);
-        return entry == null ? null : entry.endpoint().name();
-      }, now));
-      return hearsay.facts();
-    });
+    return inTurn(
+        () -> {
+          long now = clock.now();
+          module.recall(
+              now,
+              known ->
+                  hearsay.saw(
+                      known,
+                      id -> {
+                        Roster.Entry entry = roster.find(id);
+                        return entry == null ? null : entry.endpoint().name();
+                      },
+                      now));
+          return hearsay.facts();
+        });
   }
 
-  /** Takes in what others saw; done, with how many of the facts were of use, once the module was told. */
+  /**
+   * Takes in what others saw; done, with how many of the facts were of use, once the module was
+   * told.
+   */
   public Future<Integer> hear(List<Fact> facts) {
     return inTurn(() -> believe(facts));
   }
@@ -622,7 +794,9 @@
         hearsay.keepEarly(fact);
         continue;
       }
-      if (entry != null && fact.subject().kind() == Fact.Kind.WORKER && fact.origin().startsWith(PROBER)) {
+      if (entry != null
+          && fact.subject().kind() == Fact.Kind.WORKER
+          && fact.origin().startsWith(PROBER)) {
         if (fact.value().b() >= 0.5) {
           toldFailing.add(fact.subject().worker());
         } else {
@@ -630,8 +804,12 @@
         }
       }
       Standing s = entry == null ? null : standing(entry);
-      Dispatcher.Known known = hearsay.heard(fact, entry == null ? 0 : entry.id(),
-          s == null ? null : new Screen.Standing(s.state(), s.since()), now);
+      Dispatcher.Known known =
+          hearsay.heard(
+              fact,
+              entry == null ? 0 : entry.id(),
+              s == null ? null : new Screen.Standing(s.state(), s.since()),
+              now);
       if (known != null) {
         counters.add(Count.FACTS_USED);
         tell(known);
@@ -641,71 +819,104 @@
     return used;
   }
 
-  // ---------------------------------------------------------------- what plans of the whole fleet want
+  // ---------------------------------------------------------------- what plans of the whole fleet
+  // want
 
-  /** A worker as this front end has it; {@code kind} as the settings number it, {@code since} in Unix microseconds. */
-  public record Machine(String name, int zone, int kind, boolean ready, long since, boolean cold, boolean failing) { }
+  /**
+   * A worker as this front end has it; {@code kind} as the settings number it, {@code since} in
+   * Unix microseconds.
+   */
+  public record Machine(
+      String name, int zone, int kind, boolean ready, long since, boolean cold, boolean failing) {}
 
   /** Takes out what plans have out, and nothing else by plans; done once that holds here. */
   public Future<Void> settle(Set<String> nowOut, Set<String> cold) {
-    return inTurn(() -> {
-      restate(bans.settle(nowOut, cold, clock.now()));
-      return null;
-    });
+    return inTurn(
+        () -> {
+          restate(bans.settle(nowOut, cold, clock.now()));
+          return null;
+        });
   }
 
-  /** The workers that the list has now; ready ones are so whatever is out by hand or plan, but not while discovery's word is too old. */
+  /**
+   * The workers that the list has now; ready ones are so whatever is out by hand or plan, but not
+   * while discovery's word is too old.
+   */
   public List<Machine> machines() {
     long now = clock.now();
     List<Machine> all = new ArrayList<>();
     for (Roster.Entry e : roster.all()) {
       Endpoint p = e.endpoint();
       long since = standing(e).since();
-      boolean ready = p.state() == State.READY && !discovery.leases().isHeldBack(e.id()); // what nobody knows of counts as out
-      all.add(new Machine(p.name(), p.zone(), p.kind(), ready, p.since(), since > 0 && now - since < settings.rules().cold(),
-          toldFailing.contains(p.name())));
+      boolean ready =
+          p.state() == State.READY
+              && !discovery.leases().isHeldBack(e.id()); // what nobody knows of counts as out
+      all.add(
+          new Machine(
+              p.name(),
+              p.zone(),
+              p.kind(),
+              ready,
+              p.since(),
+              since > 0 && now - since < settings.rules().cold(),
+              toldFailing.contains(p.name())));
     }
     return all;
   }
 
-  /** Attempts and orders that are out, by worker's name; what was out at one that is gone counts no more. */
+  /**
+   * Attempts and orders that are out, by worker's name; what was out at one that is gone counts no
+   * more.
+   */
   public Map<String, Integer> underWay() {
     Map<String, Integer> named = new TreeMap<>();
-    out.forEach((id, n) -> {
-      Roster.Entry e = roster.find(id);
-      if (e != null) {
-        named.put(e.endpoint().name(), n);
-      }
-    });
+    out.forEach(
+        (id, n) -> {
+          Roster.Entry e = roster.find(id);
+          if (e != null) {
+            named.put(e.endpoint().name(), n);
+          }
+        });
     return named;
   }
 
-  /** Functions in use here, by their hex digits, and the workers that hold them loaded as far as this front end saw; so many at the most. */
+  /**
+   * Functions in use here, by their hex digits, and the workers that hold them loaded as far as
+   * this front end saw; so many at the most.
+   */
   public Map<String, Set<String>> copies(int most) {
     Map<Long, Double> recent = new HashMap<>();
     Map<Long, Set<String>> at = new HashMap<>();
-    module.recall(clock.now(), known -> {
-      if (known instanceof Dispatcher.KnownFunction f && f.recent() >= 1) {
-        recent.put(f.function(), f.recent());
-      } else if (known instanceof Dispatcher.KnownCopy c && roster.find(c.worker()) != null
-          && !discovery.leases().isHeldBack(c.worker())) {
-        at.computeIfAbsent(c.function(), k -> new HashSet<>()).add(roster.find(c.worker()).endpoint().name());
-      }
-    });
+    module.recall(
+        clock.now(),
+        known -> {
+          if (known instanceof Dispatcher.KnownFunction f && f.recent() >= 1) {
+            recent.put(f.function(), f.recent());
+          } else if (known instanceof Dispatcher.KnownCopy c
+              && roster.find(c.worker()) != null
+              && !discovery.leases().isHeldBack(c.worker())) {
+            at.computeIfAbsent(c.function(), k -> new HashSet<>())
+                .add(roster.find(c.worker()).endpoint().name());
+          }
+        });
     Map<String, Set<String>> named = new TreeMap<>();
-    recent.entrySet().stream().sorted(Map.Entry.<Long, Double>comparingByValue().reversed()).limit(most)
-        .filter(e -> at.containsKey(e.getKey())).forEach(e -> named.put(String.format("%016x", e.getKey()), at.get(e.getKey())));
+    recent.entrySet().stream()
+        .sorted(Map.Entry.<Long, Double>comparingByValue().reversed())
+        .limit(most)
+        .filter(e -> at.containsKey(e.getKey()))
+        .forEach(e -> named.put(String.format("%016x", e.getKey()), at.get(e.getKey())));
     return named;
   }
 
   /** Has the module order a copy of a function at a worker, within its ration. */
   public void want(String worker, long function) {
-    post(() -> {
-      Roster.Entry entry = roster.find(worker);
-      if (entry != null) {
-        tell(new Dispatcher.Wanted(entry.id(), function));
-      }
-    });
+    post(
+        () -> {
+          Roster.Entry entry = roster.find(worker);
+          if (entry != null) {
+            tell(new Dispatcher.Wanted(entry.id(), function));
+          }
+        });
   }
 
   private void restate(Iterable<String> names) {
@@ -721,23 +932,31 @@
     }
   }
 
-  /** What is left of the workers' leases, by name, for a process that takes over; null where they have none. */
+  /**
+   * What is left of the workers' leases, by name, for a process that takes over; null where they
+   * have none.
+   */
   public Future<Map<String, Long>> leasesLeft() {
     return inTurn(discovery::left);
   }
 
-  /** Goes on with the leases of the process that this one replaces, as they stood {@code age} microseconds ago. */
+  /**
+   * Goes on with the leases of the process that this one replaces, as they stood {@code age}
+   * microseconds ago.
+   */
   public Future<Void> takeOverLeases(Map<String, Long> left, long age) {
-    return inTurn(() -> {
-      Map<Integer, Long> byId = new HashMap<>();
-      left.forEach((name, rest) -> {
-        if (roster.find(name) != null) {
-          byId.put(roster.find(name).id(), rest);
-        }
-      });
-      discovery.takeOver(byId, age);
-      return null;
-    });
+    return inTurn(
+        () -> {
+          Map<Integer, Long> byId = new HashMap<>();
+          left.forEach(
+              (name, rest) -> {
+                if (roster.find(name) != null) {
+                  byId.put(roster.find(name).id(), rest);
+                }
+              });
+          discovery.takeOver(byId, age);
+          return null;
+        });
   }
 
   /** How many front ends there likely are, and by how much what belongs to all is divided here. */
@@ -745,7 +964,10 @@
     post(() -> tell(new Dispatcher.Siblings(count, divisor)));
   }
 
-  /** Runs {@code action} one time, once no call is owed an answer: at once, or when the last one has it. */
+  /**
+   * Runs {@code action} one time, once no call is owed an answer: at once, or when the last one has
+   * it.
+   */
   public void whenIdle(Runnable action) {
     whenIdle = action;
     post(this::lookIfIdle);
--- a/src/main/java/umberrun/core/Probing.java
+++ b/src/main/java/umberrun/core/Probing.java
@@ -15,7 +15,9 @@
     this(owner, worker, askedAt, null);
   }
 
-  /** @param then is told of the end in the place of the module, or null */
+  /**
+   * @param then is told of the end in the place of the module, or null
+   */
   Probing(Owner owner, int worker, long askedAt, Consumer<Code> then) {
     this.owner = owner;
     this.worker = worker;
@@ -31,13 +33,14 @@
   public void end(Code code, float[] report) {
     if (!ended) {
       ended = true;
-      owner.post(() -> {
-        if (then != null) {
-          then.accept(code);
-        } else {
-          owner.probed(this, code, report);
-        }
-      });
+      owner.post(
+          () -> {
+            if (then != null) {
+              then.accept(code);
+            } else {
+              owner.probed(this, code, report);
+            }
+          });
     }
   }
 }
--- a/src/main/java/umberrun/core/Request.java
+++ b/src/main/java/umberrun/core/Request.java
@@ -3,23 +3,37 @@
 import io.vertx.core.buffer.Buffer;
 
 /**
- * A client's call as a front has decoded it. What goes on unchanged is kept as the bytes that came; the rest
- * are the fields that decisions need.
+ * A client's call as a front has decoded it. What goes on unchanged is kept as the bytes that came;
+ * the rest are the fields that decisions need.
  *
  * @param rid the id under which the worker is asked
- * @param functionBytes the function as the client wrote it; {@code function} is the same as a number
+ * @param functionBytes the function as the client wrote it; {@code function} is the same as a
+ *     number
  * @param key the idempotency key, or null
  * @param patience how long the client waits from now on, in microseconds
  */
-public record Request(Buffer rid, int callClass, int tenant, Buffer functionBytes, long function, Buffer key,
-    long patience, boolean repeat, Figures figures, Buffer body) {
+public record Request(
+    Buffer rid,
+    int callClass,
+    int tenant,
+    Buffer functionBytes,
+    long function,
+    Buffer key,
+    long patience,
+    boolean repeat,
+    Figures figures,
+    Buffer body) {
 
-  /** The further figures of a call: lanes and memory of a copy, usual time of a load in microseconds. */
+  /**
+   * The further figures of a call: lanes and memory of a copy, usual time of a load in
+   * microseconds.
+   */
   public record Figures(double lanes, double memoryMb, long loadTime) {
     public static final Figures NONE = new Figures(1, 0, 0);
   }
 
   Request withPatience(long left) {
-    return new Request(rid, callClass, tenant, functionBytes, function, key, left, repeat, figures, body);
+    return new Request(
+        rid, callClass, tenant, functionBytes, function, key, left, repeat, figures, body);
   }
 }
--- a/src/main/java/umberrun/core/Roster.java
+++ b/src/main/java/umberrun/core/Roster.java
@@ -1,29 +1,34 @@
 package umberrun.core;
 
+import java.nio.charset.StandardCharsets;
 import java.util.Collections;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Set;
 import java.util.zip.CRC32;
-import java.nio.charset.StandardCharsets;
 import saddlestall.Dispatcher.State;
 
 /** The table of workers: the number that the module knows each by, and what was last told of it. */
 final class Roster {
-  /** A worker as last told; {@code toldAt} is when it was first told to drain or be gone, 0 while ready. */
-  record Entry(int id, Endpoint endpoint, long toldAt) { }
+  /**
+   * A worker as last told; {@code toldAt} is when it was first told to drain or be gone, 0 while
+   * ready.
+   */
+  record Entry(int id, Endpoint endpoint, long toldAt) {}
 
   /** Names kept of workers that are gone, so that operators can speak of them. */
   private static final int MOST_NAMES = 16_384;
 
   private final Map<String, Entry> byName = new HashMap<>();
   private final Map<Integer, String> names = new HashMap<>();
-  private final Set<String> everListed = Collections.newSetFromMap(new Bounded<>(MOST_NAMES, false));
+  private final Set<String> everListed =
+      Collections.newSetFromMap(new Bounded<>(MOST_NAMES, false));
 
   /** Takes in one line of the list. */
   Entry tell(Endpoint e, long now) {
     Entry before = byName.get(e.name());
-    long toldAt = e.state() == State.READY ? 0 : before == null || before.toldAt == 0 ? now : before.toldAt;
+    long toldAt =
+        e.state() == State.READY ? 0 : before == null || before.toldAt == 0 ? now : before.toldAt;
     Entry after = new Entry(before == null ? number(e.name()) : before.id, e, toldAt);
     byName.put(e.name(), after);
     everListed.add(e.name());
--- a/src/main/java/umberrun/core/WorkerPort.java
+++ b/src/main/java/umberrun/core/WorkerPort.java
@@ -1,12 +1,15 @@
 package umberrun.core;
 
+import io.vertx.core.buffer.Buffer;
 import saddlestall.Dispatcher.Code;
 import saddlestall.Dispatcher.Note;
-import io.vertx.core.buffer.Buffer;
 
 /** The way to the workers. Each thing handed over ends once, through the owner's queue. */
 public interface WorkerPort {
-  /** News of a worker; {@code stopAt} is from when on nothing new may be written to it, the greatest long for never. */
+  /**
+   * News of a worker; {@code stopAt} is from when on nothing new may be written to it, the greatest
+   * long for never.
+   */
   void update(int worker, Endpoint endpoint, long stopAt);
 
   void run(Attempt attempt);
@@ -22,7 +25,10 @@
 
   void closeIdle(int worker);
 
-  /** How an attempt ended: {@code crowd} is -1 where it was not told, {@code body} null unless served. */
+  /**
+   * How an attempt ended: {@code crowd} is -1 where it was not told, {@code body} null unless
+   * served.
+   */
   record Ending(Code code, Note note, int crowd, float[] report, Buffer body) {
     public static Ending of(Code code) {
       return new Ending(code, Note.NONE, -1, null, null);
--- a/src/main/java/umberrun/discovery/Contact.java
+++ b/src/main/java/umberrun/discovery/Contact.java
@@ -4,27 +4,40 @@
 import java.util.Deque;
 
 /**
- * What contact with discovery proves, and when what it has to tell counts as told though it did not arrive. Free of I/O and of clocks:
- * all times are microseconds of one steady clock, handed in by the caller.
+ * What contact with discovery proves, and when what it has to tell counts as told though it did not
+ * arrive. Free of I/O and of clocks: all times are microseconds of one steady clock, handed in by
+ * the caller.
  *
- * <p>An answer proves the list as of the moment when it was asked for. What happens later counts as told {@link #TOLD} after it
- * happened at the latest, and sooner around a move of discovery and behind an answer that broke off.
+ * <p>An answer proves the list as of the moment when it was asked for. What happens later counts as
+ * told {@link #TOLD} after it happened at the latest, and sooner around a move of discovery and
+ * behind an answer that broke off.
  */
 public final class Contact {
   /** What discovery has to tell counts as told this long after it happened. */
   public static final long TOLD = 7_000_000;
+
   /** What happens until this long after a move of discovery counts as told then. */
   private static final long TOLD_AFTER_MOVE = 4_000_000;
+
   /** What an answer would have told that broke off counts as told this long after the break. */
   private static final long TOLD_AFTER_BREAK = 2_000_000;
-  /** Discovery that was last heard so long ago is out of reach: a poll in good order is answered within half of it. */
+
+  /**
+   * Discovery that was last heard so long ago is out of reach: a poll in good order is answered
+   * within half of it.
+   */
   static final long OUT_OF_REACH = 2_500_000;
+
   private static final long NEVER = Long.MIN_VALUE / 2;
+
   /** Deadlines kept at the most; of a storm of moves the last ones share the last deadline. */
   private static final int MOST_DEADLINES = 64;
 
-  /** What happened before {@code covers} counts as told at {@code told}, unless an answer asked for since {@code at} has come. */
-  private record Deadline(long at, long covers, long told) { }
+  /**
+   * What happened before {@code covers} counts as told at {@code told}, unless an answer asked for
+   * since {@code at} has come.
+   */
+  private record Deadline(long at, long covers, long told) {}
 
   private final long term;
   private final Deque<Deadline> deadlines = new ArrayDeque<>();
@@ -32,14 +45,17 @@
   private long followedAt = NEVER;
   private long heardAt = NEVER;
 
-  /** @param grace how long new work may still go to a worker after its drain counts as told, less what the way there takes */
+  /**
+   * @param grace how long new work may still go to a worker after its drain counts as told, less
+   *     what the way there takes
+   */
   public Contact(long grace) {
     this.term = TOLD + Math.max(0, grace);
   }
 
   /**
-   * From {@code now} on the list comes from discovery; what is known already was so at {@code knownAt}. Without this a list never grows
-   * old.
+   * From {@code now} on the list comes from discovery; what is known already was so at {@code
+   * knownAt}. Without this a list never grows old.
    */
   public void follow(long knownAt, long now) {
     followed = true;
@@ -80,7 +96,10 @@
     return heardAt;
   }
 
-  /** Whether discovery was heard by this process, or told it something through its configuration that still counts. */
+  /**
+   * Whether discovery was heard by this process, or told it something through its configuration
+   * that still counts.
+   */
   public boolean isHeard() {
     return heardAt != NEVER;
   }
--- a/src/main/java/umberrun/discovery/WorkerLeases.java
+++ b/src/main/java/umberrun/discovery/WorkerLeases.java
@@ -7,30 +7,47 @@
 import java.util.Map;
 
 /**
- * The permission to send new work to a worker, as a lease: contact with discovery renews it for all workers, work that a worker took on
- * renews it for that one, from the moment when it was sent. Nothing else does; above all no answer to a probe, as a worker that drains
- * may still give one. Free of I/O and of clocks; times are in microseconds of one steady clock.
+ * The permission to send new work to a worker, as a lease: contact with discovery renews it for all
+ * workers, work that a worker took on renews it for that one, from the moment when it was sent.
+ * Nothing else does; above all no answer to a probe, as a worker that drains may still give one.
+ * Free of I/O and of clocks; times are in microseconds of one steady clock.
  *
- * <p>While discovery answers, the leases of all workers run on by themselves and nothing is asked of anybody.
+ * <p>While discovery answers, the leases of all workers run on by themselves and nothing is asked
+ * of anybody.
  */
 public final class WorkerLeases {
-  /** A worker is held back this long before its lease ends: the decision to send is looked at no more often. */
+  /**
+   * A worker is held back this long before its lease ends: the decision to send is looked at no
+   * more often.
+   */
   public static final long REVIEW = 250_000;
+
   /** A lease with less left is to be renewed by work, where there is any. */
   private static final long RENEW_WITHIN = 5_500_000;
+
   /** With less left it is urgent. */
   private static final long URGENT = 3_000_000;
+
   /** An order or call that should renew a lease has so long to do it. */
   private static final long RENEWAL_TAKES = 1_000_000;
+
   /** An odd number whose multiples look random in their upper bits. */
   private static final int SCATTER = 0x9e3779b1;
+
   private static final long NEVER = Long.MIN_VALUE / 2;
 
   /** A worker whose lease ends after {@code left} microseconds unless it takes on work. */
-  public record Expiring(int worker, long left) { }
+  public record Expiring(int worker, long left) {}
 
-  /** What a review found: who may no longer be sent work, who may again, and whose lease is to be renewed, the shortest first. */
-  public record Review(List<Integer> heldBack, List<Integer> released, List<Integer> restarted, List<Expiring> expiring) {
+  /**
+   * What a review found: who may no longer be sent work, who may again, and whose lease is to be
+   * renewed, the shortest first.
+   */
+  public record Review(
+      List<Integer> heldBack,
+      List<Integer> released,
+      List<Integer> restarted,
+      List<Expiring> expiring) {
     /** How many of those that expire, from the first on, do so very soon. */
     public int urgent() {
       return (int) expiring.stream().filter(e -> e.left < URGENT).count();
@@ -42,19 +59,30 @@
   }
 
   private final Contact contact;
-  /** Leases that end at one moment are renewed in an order of each front end's own, so that together they keep all workers in use. */
+
+  /**
+   * Leases that end at one moment are renewed in an order of each front end's own, so that together
+   * they keep all workers in use.
+   */
   private final int salt;
+
   private final Map<Integer, Long> provenAt = new HashMap<>();
+
   /** When a renewal was last tried. */
   private final Map<Integer, Long> triedAt = new HashMap<>();
+
   /** When a worker's address last refused a connection: the process there had ended. */
   private final Map<Integer, Long> refusedAt = new HashMap<>();
+
   /** Since when each of those that are held back is. */
   private final Map<Integer, Long> heldBack = new HashMap<>();
+
   /** Those whose start counts as told though discovery did not tell it, and when it was. */
   private final Map<Integer, Long> restarted = new HashMap<>();
 
-  /** @param salt another one at each front end */
+  /**
+   * @param salt another one at each front end
+   */
   public WorkerLeases(Contact contact, int salt) {
     this.contact = contact;
     this.salt = salt;
@@ -79,7 +107,10 @@
     restarted.remove(worker);
   }
 
-  /** Until when new work may be written to a worker; the greatest long where the list comes from nowhere that could be lost. */
+  /**
+   * Until when new work may be written to a worker; the greatest long where the list comes from
+   * nowhere that could be lost.
+   */
   public long until(int worker) {
     if (!contact.isFollowed()) {
       return Long.MAX_VALUE;
@@ -102,14 +133,19 @@
     return heldBack.size();
   }
 
-  /** When a worker started, as far as it counts as told though discovery did not tell it; else 0. */
+  /**
+   * When a worker started, as far as it counts as told though discovery did not tell it; else 0.
+   */
   public long startedAt(int worker) {
     return restarted.getOrDefault(worker, 0L);
   }
 
-  /** Looks at all leases. To be called every {@link #REVIEW}, and after each contact with discovery. */
+  /**
+   * Looks at all leases. To be called every {@link #REVIEW}, and after each contact with discovery.
+   */
   public Review review(long now, Iterable<Integer> listed) {
-    Review found = new Review(new ArrayList<>(), new ArrayList<>(), new ArrayList<>(), new ArrayList<>());
+    Review found =
+        new Review(new ArrayList<>(), new ArrayList<>(), new ArrayList<>(), new ArrayList<>());
     boolean away = contact.isOutOfReach(now);
     boolean allHold = !contact.isFollowed() || contact.leaseUntil(contact.heardAt()) - now > REVIEW;
     if (!away && allHold && heldBack.isEmpty() && restarted.isEmpty()) {
@@ -119,7 +155,9 @@
       reviewLease(worker, now, away, found);
       reviewStart(worker, now, found);
     }
-    found.expiring.sort(Comparator.comparingLong(Expiring::left).thenComparingInt(e -> (e.worker ^ salt) * SCATTER));
+    found.expiring.sort(
+        Comparator.comparingLong(Expiring::left)
+            .thenComparingInt(e -> (e.worker ^ salt) * SCATTER));
     return found;
   }
 
@@ -131,7 +169,10 @@
     } else if (!over && heldBack.remove(worker) != null) {
       found.released.add(worker);
     }
-    if (away && !over && left < RENEW_WITHIN && now - triedAt.getOrDefault(worker, NEVER) >= RENEWAL_TAKES) {
+    if (away
+        && !over
+        && left < RENEW_WITHIN
+        && now - triedAt.getOrDefault(worker, NEVER) >= RENEWAL_TAKES) {
       found.expiring.add(new Expiring(worker, left));
     }
   }
@@ -150,7 +191,10 @@
     triedAt.put(worker, now);
   }
 
-  /** What is left of each worker's lease, for a process that takes over; those that are held back are left out. */
+  /**
+   * What is left of each worker's lease, for a process that takes over; those that are held back
+   * are left out.
+   */
   public Map<Integer, Long> left(long now, Iterable<Integer> listed) {
     Map<Integer, Long> left = new HashMap<>();
     for (int worker : listed) {
@@ -163,8 +207,9 @@
   }
 
   /**
-   * Takes over what was left of the leases of the process that this one replaces, in the place of the list that this one started with,
-   * which may be older. Nothing once this process has heard discovery itself.
+   * Takes over what was left of the leases of the process that this one replaces, in the place of
+   * the list that this one started with, which may be older. Nothing once this process has heard
+   * discovery itself.
    *
    * @param startedWith the contact that this process had by its configuration alone
    */
@@ -175,5 +220,4 @@
     contact.disown();
     left.forEach((worker, rest) -> tookWork(worker, contact.provenAt(now, rest)));
   }
-
 }
--- a/src/main/java/umberrun/fleet/Awareness.java
+++ b/src/main/java/umberrun/fleet/Awareness.java
@@ -1,6 +1,9 @@
 package umberrun.fleet;
 
-/** How far this member doubts itself, from 0 (well) to 8: it then waits longer before it accuses (Lifeguard, section IV-A). */
+/**
+ * How far this member doubts itself, from 0 (well) to 8: it then waits longer before it accuses
+ * (Lifeguard, section IV-A).
+ */
 final class Awareness {
   private static final int MOST = 8;
 
--- a/src/main/java/umberrun/fleet/Change.java
+++ b/src/main/java/umberrun/fleet/Change.java
@@ -8,5 +8,18 @@
  */
 public record Change(long at, Kind kind, Claim claim, String by) {
   /** What has changed. */
-  public enum Kind { JOINED, SUSPECTED, REFUTED, DIED, RETURNED, RESTARTED, LEFT, SAID, CLASH, YIELDED, FORGOTTEN, ACCUSED_SELF }
+  public enum Kind {
+    JOINED,
+    SUSPECTED,
+    REFUTED,
+    DIED,
+    RETURNED,
+    RESTARTED,
+    LEFT,
+    SAID,
+    CLASH,
+    YIELDED,
+    FORGOTTEN,
+    ACCUSED_SELF
+  }
 }
--- a/src/main/java/umberrun/fleet/Life.java
+++ b/src/main/java/umberrun/fleet/Life.java
@@ -1,13 +1,15 @@
 package umberrun.fleet;
 
 /**
- * One process of a member. Later lives have greater numbers; {@code startId} is drawn with each start and decides between
- * two of one number.
+ * One process of a member. Later lives have greater numbers; {@code startId} is drawn with each
+ * start and decides between two of one number.
  */
 public record Life(int number, long startId) implements Comparable<Life> {
   @Override
   public int compareTo(Life o) {
-    return number != o.number ? Integer.compare(number, o.number) : Long.compareUnsigned(startId, o.startId);
+    return number != o.number
+        ? Integer.compare(number, o.number)
+        : Long.compareUnsigned(startId, o.startId);
   }
 
   @Override
--- a/src/main/java/umberrun/fleet/Membership.java
+++ b/src/main/java/umberrun/fleet/Membership.java
@@ -13,23 +13,41 @@
 import umberrun.fleet.Claim.Status;
 
 /**
- * One member's view of its fleet, and what it does to keep it: SWIM with Lifeguard, see {@code docs/fleet-view.md}. Free of
- * I/O, threads and clocks: times are handed in, in microseconds of a steady clock, and what is to be done goes to the
- * {@link Outbox}. The same calls with the same seed lead to the same view.
+ * One member's view of its fleet, and what it does to keep it: SWIM with Lifeguard, see {@code
+ * docs/fleet-view.md}. Free of I/O, threads and clocks: times are handed in, in microseconds of a
+ * steady clock, and what is to be done goes to the {@link Outbox}. The same calls with the same
+ * seed lead to the same view.
  */
 public class Membership {
   /** Claims in a datagram beside the sender's own, in bytes; the rest of 1,400 is for the head. */
   private static final int NEWS_BYTES = 1_000;
+
   private static final int HELPERS = 3;
-  /** Probes for others that wait for an answer; beyond that, one who asks hears nothing and asks another next time. */
+
+  /**
+   * Probes for others that wait for an answer; beyond that, one who asks hears nothing and asks
+   * another next time.
+   */
   private static final int MOST_FORWARDS = 256;
-  /** A wait that ends later than this part of the time-out says more of this member than of the one it waited for. */
+
+  /**
+   * A wait that ends later than this part of the time-out says more of this member than of the one
+   * it waited for.
+   */
   private static final int LATE_PART = 2;
-  /** Members up to which a full exchange costs next to nothing, and how much sooner it comes while the view changes. */
+
+  /**
+   * Members up to which a full exchange costs next to nothing, and how much sooner it comes while
+   * the view changes.
+   */
   private static final double FEW = 500;
+
   private static final long HASTE = 5;
   private static final long FIRST_JOIN = 200 * Settings.MS;
-  /** Tries to find the dead again, for each of them and from all members, in one time between tries. */
+
+  /**
+   * Tries to find the dead again, for each of them and from all members, in one time between tries.
+   */
   private static final double TRIES_EACH = 2;
 
   /** A probe of this interval. */
@@ -49,7 +67,7 @@
   }
 
   /** A probe for somebody else. */
-  private record Forward(long seq, String target, String address) { }
+  private record Forward(long seq, String target, String address) {}
 
   private final Settings settings;
   private final String name;
@@ -70,13 +88,24 @@
   private boolean yielded;
   private boolean over;
   private long changedAt = Long.MIN_VALUE / 2;
-  /** When it first met another member, 0 before; whether the fleet had known its name; whether others were missing then. */
+
+  /**
+   * When it first met another member, 0 before; whether the fleet had known its name; whether
+   * others were missing then.
+   */
   private long metAt;
+
   private long startedAt;
   private boolean known;
   private boolean late;
 
-  public Membership(Settings settings, String name, long startId, About about, RandomGenerator random, Outbox out) {
+  public Membership(
+      Settings settings,
+      String name,
+      long startId,
+      About about,
+      RandomGenerator random,
+      Outbox out) {
     this.settings = settings;
     this.name = name;
     this.random = random;
@@ -126,7 +155,8 @@
     if (!over) {
       self = self.with(Status.LEFT, "");
       for (Peer p : some(HELPERS, "")) {
-        out.send(p.claim.about().address(), message(Message.Kind.PING, 0, p.claim.name(), "", null));
+        out.send(
+            p.claim.about().address(), message(Message.Kind.PING, 0, p.claim.name(), "", null));
       }
       end();
     }
@@ -135,7 +165,8 @@
   /** Falls silent without a word: another process is this member from now on. */
   public void end() {
     over = true;
-    for (Timer.Kind kind : List.of(Timer.Kind.PROBE, Timer.Kind.DIRECT, Timer.Kind.EXCHANGE, Timer.Kind.RECONNECT)) {
+    for (Timer.Kind kind :
+        List.of(Timer.Kind.PROBE, Timer.Kind.DIRECT, Timer.Kind.EXCHANGE, Timer.Kind.RECONNECT)) {
       out.cancel(Timer.of(kind));
     }
     peers.forEach((n, p) -> out.cancel(new Timer(Timer.Kind.SUSPICION, n)));
@@ -155,9 +186,13 @@
     }
     String back = m.from().about().address();
     switch (m.kind()) {
-      case PING -> out.send(back, m.target().equals(name) && !yielded
-          ? message(Message.Kind.ACK, m.seq(), m.from().name(), "", unlike(sender, m.from()))
-          : message(Message.Kind.STRANGER, m.seq(), m.target(), "", null));
+      case PING ->
+          out.send(
+              back,
+              m.target().equals(name) && !yielded
+                  ? message(
+                      Message.Kind.ACK, m.seq(), m.from().name(), "", unlike(sender, m.from()))
+                  : message(Message.Kind.STRANGER, m.seq(), m.target(), "", null));
       case ACK -> answered(now, m);
       case STRANGER -> stranger(now, m);
       case ASK -> ask(now, m);
@@ -194,7 +229,9 @@
     }
   }
 
-  /** All that this member would tell another in a full exchange; what it says of itself comes first. */
+  /**
+   * All that this member would tell another in a full exchange; what it says of itself comes first.
+   */
   public List<Claim> all(long now) {
     List<Claim> all = new ArrayList<>(peers.size() + 1);
     all.add(self);
@@ -223,12 +260,16 @@
     long before = self.incarnation();
     merge(now, theirs);
     Peer p = at(address);
-    if (p != null && self.incarnation() != before) { // it holds this member dead, and tells its half of that
+    if (p != null
+        && self.incarnation() != before) { // it holds this member dead, and tells its half of that
       out.send(address, message(Message.Kind.PING, 0, p.claim.name(), "", null));
     }
   }
 
-  /** The full exchange with an address did not come about; {@code refused} where the machine answers and nobody listens. */
+  /**
+   * The full exchange with an address did not come about; {@code refused} where the machine answers
+   * and nobody listens.
+   */
   public void unreachable(String address, boolean refused) {
     for (Peer p : peers.values()) {
       if (p.claim.status() == Status.DEAD && p.claim.about().address().equals(address)) {
@@ -278,7 +319,9 @@
     return Shares.divisor(settings, peers.values(), now, own());
   }
 
-  /** How many front ends there likely are, those that may live on the other side of a cut included. */
+  /**
+   * How many front ends there likely are, those that may live on the other side of a cut included.
+   */
   public double count(long now) {
     return Shares.count(settings, peers.values(), now, own());
   }
@@ -344,7 +387,10 @@
     ring.add(random.nextInt(ring.size() + 1), p.claim.name());
   }
 
-  /** Counts who met whom once a whole message or exchange is in: the missing may be told behind the first that lives. */
+  /**
+   * Counts who met whom once a whole message or exchange is in: the missing may be told behind the
+   * first that lives.
+   */
   private void meet(long now) {
     if (living > 0 && metAt == 0) {
       metAt = now;
@@ -388,11 +434,12 @@
       case LEFT -> Kind.LEFT;
       case DEAD -> before.isLiving() ? Kind.DIED : null;
       case SUSPECT -> Kind.SUSPECTED;
-      case ALIVE -> switch (before.status()) {
-        case SUSPECT -> Kind.REFUTED;
-        case DEAD, LEFT -> Kind.RETURNED;
-        case ALIVE -> c.about().state() != before.about().state() ? Kind.SAID : null;
-      };
+      case ALIVE ->
+          switch (before.status()) {
+            case SUSPECT -> Kind.REFUTED;
+            case DEAD, LEFT -> Kind.RETURNED;
+            case ALIVE -> c.about().state() != before.about().state() ? Kind.SAID : null;
+          };
     };
   }
 
@@ -408,7 +455,8 @@
       return;
     }
     long least = Suspicion.least(settings.interval(), living + 1);
-    if (isLate(late)) { // guards the healthy against a pause of this member: what refutes may lie unread
+    if (isLate(
+        late)) { // guards the healthy against a pause of this member: what refutes may lie unread
       out.start(t, now + least);
     } else {
       take(now, p.claim.with(Status.DEAD, p.claim.accuser()), false);
@@ -444,9 +492,13 @@
   private void aboutSelf(long now, Claim c) {
     if (c.life().startId() != self.life().startId()) {
       namesake(now, c);
-    } else if (!over && c.life().equals(self.life()) && c.status() != Status.ALIVE
+    } else if (!over
+        && c.life().equals(self.life())
+        && c.status() != Status.ALIVE
         && c.incarnation() >= self.incarnation()) {
-      self = new Claim(name, self.life(), refuting(c.incarnation()), Status.ALIVE, self.about(), "", 0);
+      self =
+          new Claim(
+              name, self.life(), refuting(c.incarnation()), Status.ALIVE, self.about(), "", 0);
       awareness.worse(settings.doubts() ? 1 : 0);
       changed(now, Kind.ACCUSED_SELF, c.with(self.about()), c.accuser());
       announce();
@@ -463,7 +515,8 @@
     known |= metAt == 0 && (c.isLiving() || c.status() == Status.DEAD && c.age() < settings.sure());
     if (yielded) {
       Peer holder = peers.get(name);
-      if (c.compareTo(holder.claim) > 0 && (c.about() != null || c.life().equals(holder.claim.life()))) {
+      if (c.compareTo(holder.claim) > 0
+          && (c.about() != null || c.life().equals(holder.claim.life()))) {
         holder.claim = c.about() == null ? c.with(holder.claim.about()) : c;
       }
       if (!holder.claim.isLiving()) {
@@ -476,7 +529,8 @@
     if (c.life().compareTo(self.life()) < 0) {
       return; // it is told of, or hears by itself, who has the name now
     }
-    boolean former = !c.isLiving() || c.about() == null || c.about().address().equals(self.about().address());
+    boolean former =
+        !c.isLiving() || c.about() == null || c.about().address().equals(self.about().address());
     if (!former) {
       changed(now, Kind.CLASH, c, c.about().address());
     }
@@ -493,7 +547,15 @@
 
   /** Takes the name with a life that comes after another's. */
   private void rename(Claim after) {
-    self = new Claim(name, new Life(after.life().number() + 1, self.life().startId()), 0, Status.ALIVE, self.about(), "", 0);
+    self =
+        new Claim(
+            name,
+            new Life(after.life().number() + 1, self.life().startId()),
+            0,
+            Status.ALIVE,
+            self.about(),
+            "",
+            0);
     announce();
   }
 
@@ -505,7 +567,9 @@
 
   /** What the other must know of itself, as it is not what it says; or null. */
   private static Claim unlike(Peer p, Claim said) {
-    return p != null && (p.claim.status() != Status.ALIVE || !p.claim.life().equals(said.life())) ? p.claim : null;
+    return p != null && (p.claim.status() != Status.ALIVE || !p.claim.life().equals(said.life()))
+        ? p.claim
+        : null;
   }
 
   // ---------------------------------------------------------------- probes
@@ -519,7 +583,9 @@
       return;
     }
     probe = new Probe(p.claim.name(), nextSeq++, now);
-    out.send(p.claim.about().address(), message(Message.Kind.PING, probe.seq, probe.target, "", unlike(p, p.claim)));
+    out.send(
+        p.claim.about().address(),
+        message(Message.Kind.PING, probe.seq, probe.target, "", unlike(p, p.claim)));
     out.start(Timer.of(Timer.Kind.DIRECT), now + awareness.stretch(settings.timeout()));
   }
 
@@ -541,7 +607,8 @@
       awareness.better();
       return;
     }
-    if (isLate(late)) { // guards the healthy against a pause of this member: the answer may lie unread
+    if (isLate(
+        late)) { // guards the healthy against a pause of this member: the answer may lie unread
       awareness.worse(1);
       return;
     }
@@ -564,11 +631,13 @@
       return;
     }
     probe.asked = true;
-    out.send(target.claim.about().address(), message(Message.Kind.PING, probe.seq, probe.target, "",
-        unlike(target, target.claim)));
+    out.send(
+        target.claim.about().address(),
+        message(Message.Kind.PING, probe.seq, probe.target, "", unlike(target, target.claim)));
     for (Peer helper : some(HELPERS, probe.target)) {
-      out.send(helper.claim.about().address(), message(Message.Kind.ASK, probe.seq, probe.target,
-          target.claim.about().address(), null));
+      out.send(
+          helper.claim.about().address(),
+          message(Message.Kind.ASK, probe.seq, probe.target, target.claim.about().address(), null));
     }
   }
 
@@ -579,8 +648,14 @@
     long seq = nextSeq++;
     forwards.put(seq, new Forward(m.seq(), m.target(), m.from().about().address()));
     Peer target = peers.get(m.target());
-    out.send(m.address(), message(Message.Kind.PING, seq, m.target(), "", target == null ? null
-        : unlike(target, target.claim)));
+    out.send(
+        m.address(),
+        message(
+            Message.Kind.PING,
+            seq,
+            m.target(),
+            "",
+            target == null ? null : unlike(target, target.claim)));
     out.start(new Timer(Timer.Kind.FORWARD, Long.toString(seq)), now + settings.timeout());
   }
 
@@ -599,10 +674,15 @@
     }
   }
 
-  /** An address answers a probe with another name: whoever was probed is gone from there, and would have said where to. */
+  /**
+   * An address answers a probe with another name: whoever was probed is gone from there, and would
+   * have said where to.
+   */
   private void stranger(long now, Message m) {
     Peer p = probe != null && probe.seq == m.seq() ? peers.get(probe.target) : null;
-    if (p != null && p.claim.isLiving() && p.claim.about().address().equals(m.from().about().address())) {
+    if (p != null
+        && p.claim.isLiving()
+        && p.claim.about().address().equals(m.from().about().address())) {
       take(now, p.claim.with(Status.DEAD, m.from().name()), false);
       p.refused = true;
     }
@@ -627,12 +707,16 @@
       out.exchange(p.claim.about().address());
     }
     if (yielded) {
-      out.send(peers.get(name).claim.about().address(), message(Message.Kind.CLASH, 0, name, "", null));
+      out.send(
+          peers.get(name).claim.about().address(), message(Message.Kind.CLASH, 0, name, "", null));
     }
     out.start(Timer.of(Timer.Kind.EXCHANGE), now + spread(untilExchange(now)));
   }
 
-  /** News that probes lost is found sooner while there is news; the more members, the more an exchange costs. */
+  /**
+   * News that probes lost is found sooner while there is news; the more members, the more an
+   * exchange costs.
+   */
   private long untilExchange(long now) {
     boolean stirs = now - changedAt < settings.exchange();
     return (long) (settings.exchange() * Math.max(1, living / FEW) / (stirs ? HASTE : 1));
@@ -648,14 +732,20 @@
       out.exchange(lost.get(random.nextInt(lost.size())));
     }
     joinWait = alone ? Math.min(settings.reconnect(), 2 * joinWait) : FIRST_JOIN;
-    out.start(Timer.of(Timer.Kind.RECONNECT), now + spread(alone ? joinWait : settings.reconnect()));
+    out.start(
+        Timer.of(Timer.Kind.RECONNECT), now + spread(alone ? joinWait : settings.reconnect()));
   }
 
   /** Addresses where somebody should be and nobody is. */
   protected List<String> lost() {
-    Set<String> lost = new TreeSet<>(seeds); // in order: guards a seed's course against that of a hash table
-    peers.values().stream().filter(p -> p.claim.status() == Status.DEAD).forEach(p -> lost.add(p.claim.about().address()));
-    peers.values().stream().filter(p -> p.claim.isLiving()).forEach(p -> lost.remove(p.claim.about().address()));
+    Set<String> lost =
+        new TreeSet<>(seeds); // in order: guards a seed's course against that of a hash table
+    peers.values().stream()
+        .filter(p -> p.claim.status() == Status.DEAD)
+        .forEach(p -> lost.add(p.claim.about().address()));
+    peers.values().stream()
+        .filter(p -> p.claim.isLiving())
+        .forEach(p -> lost.remove(p.claim.about().address()));
     lost.remove(self.about().address());
     return new ArrayList<>(lost);
   }
@@ -700,7 +790,10 @@
     }
   }
 
-  /** Between a half and one and a half of a time: what all do at one time, they do not do at one moment. */
+  /**
+   * Between a half and one and a half of a time: what all do at one time, they do not do at one
+   * moment.
+   */
   private long spread(long time) {
     return (long) (time * (0.5 + random.nextDouble()));
   }
--- a/src/main/java/umberrun/fleet/Message.java
+++ b/src/main/java/umberrun/fleet/Message.java
@@ -10,7 +10,8 @@
  * @param address where the target is, in a request to probe for somebody else
  * @param from the sender, by its own word
  */
-public record Message(Kind kind, long seq, String target, String address, Claim from, List<Claim> news) {
+public record Message(
+    Kind kind, long seq, String target, String address, Claim from, List<Claim> news) {
   /** What a datagram wants. */
   public enum Kind {
     /** Are you there? */
--- a/src/main/java/umberrun/fleet/News.java
+++ b/src/main/java/umberrun/fleet/News.java
@@ -6,12 +6,16 @@
 import java.util.List;
 import java.util.Map;
 
-/** Claims that are passed on, each so many times; what was told least goes first. One for each name, so it is bounded. */
+/**
+ * Claims that are passed on, each so many times; what was told least goes first. One for each name,
+ * so it is bounded.
+ */
 final class News {
   private static final double TIMES = 4;
 
   /** By how often they were told. */
   private final List<LinkedHashMap<String, Claim>> told = new ArrayList<>();
+
   private final Map<String, Integer> place = new HashMap<>();
 
   /** In the place of what was passed on of the same member before. */
@@ -35,7 +39,9 @@
     place.put(c.name(), times);
   }
 
-  /** Takes claims of so many bytes at the most to be told once more, among {@code living} members. */
+  /**
+   * Takes claims of so many bytes at the most to be told once more, among {@code living} members.
+   */
   List<Claim> take(int bytes, int living) {
     int times = (int) Math.ceil(TIMES * Math.log10(living + 1));
     List<Claim> taken = new ArrayList<>();
--- a/src/main/java/umberrun/fleet/Outbox.java
+++ b/src/main/java/umberrun/fleet/Outbox.java
@@ -4,7 +4,9 @@
 public interface Outbox {
   void send(String address, Message message);
 
-  /** Asks for a full exchange; {@code Membership.exchanged} or {@code unreachable} is owed for it. */
+  /**
+   * Asks for a full exchange; {@code Membership.exchanged} or {@code unreachable} is owed for it.
+   */
   void exchange(String address);
 
   /** Starts a wait, in the place of one of the same kind and subject. */
--- a/src/main/java/umberrun/fleet/Settings.java
+++ b/src/main/java/umberrun/fleet/Settings.java
@@ -7,7 +7,8 @@
  *
  * @param fleet its name: others are not spoken with
  * @param interval between two probes of one member
- * @param timeout for the direct answer to a probe; a half of the interval at the most, as helpers need the rest
+ * @param timeout for the direct answer to a probe; a half of the interval at the most, as helpers
+ *     need the rest
  * @param exchange between two full exchanges of one member
  * @param reconnect between two tries to find the dead again
  * @param sure for how long one must be dead before a refused connection proves that it is gone
@@ -15,16 +16,39 @@
  * @param settle within what time news reaches every member
  * @param members the most that are known, dead ones included
  * @param siblings front ends counted by one that has met nobody yet
- * @param doubts whether a member that is itself late accuses more slowly; off only to measure what that is worth
+ * @param doubts whether a member that is itself late accuses more slowly; off only to measure what
+ *     that is worth
  */
-public record Settings(String fleet, List<String> seeds, long interval, long timeout, long exchange, long reconnect,
-    long sure, long forget, long settle, int members, int siblings, boolean doubts) {
+public record Settings(
+    String fleet,
+    List<String> seeds,
+    long interval,
+    long timeout,
+    long exchange,
+    long reconnect,
+    long sure,
+    long forget,
+    long settle,
+    int members,
+    int siblings,
+    boolean doubts) {
   public static final long MS = 1_000;
   public static final long SECOND = 1_000_000;
 
   /** What is usual where the operator says nothing. */
   public static Settings usual(String fleet, List<String> seeds, int siblings) {
-    return new Settings(fleet, seeds, 500 * MS, 200 * MS, 10 * SECOND, 2 * SECOND, 60 * SECOND,
-        3_600 * SECOND, 5 * SECOND, 1_024, siblings, true);
+    return new Settings(
+        fleet,
+        seeds,
+        500 * MS,
+        200 * MS,
+        10 * SECOND,
+        2 * SECOND,
+        60 * SECOND,
+        3_600 * SECOND,
+        5 * SECOND,
+        1_024,
+        siblings,
+        true);
   }
 }
--- a/src/main/java/umberrun/fleet/Shares.java
+++ b/src/main/java/umberrun/fleet/Shares.java
@@ -4,14 +4,15 @@
 import umberrun.fleet.Claim.Status;
 
 /**
- * By how much each front end divides what belongs to all of them, so that all parts together never come to more than the
- * whole, whoever can see whom. The argument and its window are in {@code docs/fleet-view.md}.
+ * By how much each front end divides what belongs to all of them, so that all parts together never
+ * come to more than the whole, whoever can see whom. The argument and its window are in {@code
+ * docs/fleet-view.md}.
  */
 final class Shares {
   /** A newcomer of whom not everybody has heard takes this part of its share. */
   private static final double UNSETTLED = 4;
 
-  private Shares() { }
+  private Shares() {}
 
   /** Whether a dead member may yet live on the other side of a cut. */
   private static boolean mayLive(Settings s, Peer p, long now) {
@@ -36,7 +37,7 @@
    * @param late whether it came while others were missing
    * @param informed whether it has heard of all that may live
    */
-  record Own(long startedAt, long metAt, boolean known, boolean late, boolean informed) { }
+  record Own(long startedAt, long metAt, boolean known, boolean late, boolean informed) {}
 
   /** How many front ends are counted. */
   static double count(Settings s, Collection<Peer> peers, long now, Own own) {
--- a/src/main/java/umberrun/fleet/Suspicion.java
+++ b/src/main/java/umberrun/fleet/Suspicion.java
@@ -3,10 +3,14 @@
 import java.util.LinkedHashSet;
 import java.util.Set;
 
-/** How long one suspected member has to refute: the less, the more others accuse it (Lifeguard, section IV-B). */
+/**
+ * How long one suspected member has to refute: the less, the more others accuse it (Lifeguard,
+ * section IV-B).
+ */
 final class Suspicion {
   private static final double LEAST_INTERVALS = 4;
   private static final double MOST_OVER_LEAST = 4;
+
   /** Accusers beyond the first after which the time is as short as it gets. */
   static final int ENOUGH = 3;
 
@@ -15,11 +19,16 @@
   private final long most;
   final Set<String> accusers = new LinkedHashSet<>();
 
-  /** @param living members, this one included */
+  /**
+   * @param living members, this one included
+   */
   Suspicion(long now, long interval, int living) {
     since = now;
     least = least(interval, living);
-    most = living - 2 < ENOUGH ? least : (long) (MOST_OVER_LEAST * least); // too few are there to confirm anything
+    most =
+        living - 2 < ENOUGH
+            ? least
+            : (long) (MOST_OVER_LEAST * least); // too few are there to confirm anything
   }
 
   /** The shortest time, which grows with the way that a refutation has to go. */
--- a/src/main/java/umberrun/fleet/net/Carrier.java
+++ b/src/main/java/umberrun/fleet/net/Carrier.java
@@ -33,8 +33,8 @@
 import umberrun.stats.Counters.Count;
 
 /**
- * Datagrams and full exchanges on one address, on the one event loop and within bounds of packets and bytes a second: what is
- * beyond them is dropped and counted, as it would be by a poor link.
+ * Datagrams and full exchanges on one address, on the one event loop and within bounds of packets
+ * and bytes a second: what is beyond them is dropped and counted, as it would be by a poor link.
  */
 final class Carrier {
   /** Who takes what comes in. */
@@ -60,7 +60,9 @@
     Future<String> call(String words);
   }
 
-  /** The exchange did not come about; {@code refused} where the machine answers and nobody listens. */
+  /**
+   * The exchange did not come about; {@code refused} where the machine answers and nobody listens.
+   */
   static final class Unreachable extends Exception {
     private static final long serialVersionUID = 1;
     final boolean refused;
@@ -74,6 +76,7 @@
   private static final int EXCHANGE_MILLIS = 2_000;
   private static final int CONNECT_MILLIS = 1_000;
   private static final int IDLE_SECONDS = 3;
+
   /** A claim in a frame, in bytes, to know beforehand what an exchange costs. */
   private static final int CLAIM_BYTES = 130;
 
@@ -92,7 +95,13 @@
   private DatagramSocket datagrams;
   private NetServer server;
 
-  Carrier(Vertx vertx, Clock clock, Counters counters, Account account, FleetOptions options, Hearer hearer) {
+  Carrier(
+      Vertx vertx,
+      Clock clock,
+      Counters counters,
+      Account account,
+      FleetOptions options,
+      Hearer hearer) {
     this.vertx = vertx;
     this.clock = clock;
     this.counters = counters;
@@ -100,7 +109,9 @@
     this.options = options;
     this.codec = new Codec(options.name());
     this.hearer = hearer;
-    this.client = vertx.createNetClient(new NetClientOptions().setConnectTimeout(CONNECT_MILLIS).setTcpNoDelay(true));
+    this.client =
+        vertx.createNetClient(
+            new NetClientOptions().setConnectTimeout(CONNECT_MILLIS).setTcpNoDelay(true));
     long now = clock.now();
     packetsOut = new Budget(options.packetsPerSecond(), options.packetsPerSecond(), now);
     packetsIn = new Budget(options.packetsPerSecond(), options.packetsPerSecond(), now);
@@ -108,13 +119,24 @@
     bytesIn = new Budget(options.bytesPerSecond(), options.bytesPerSecond(), now);
   }
 
-  /** Takes the address, both for connections and for datagrams; the port. Neither is held where it fails. */
+  /**
+   * Takes the address, both for connections and for datagrams; the port. Neither is held where it
+   * fails.
+   */
   Future<Integer> listen() {
-    server = vertx.createNetServer(new NetServerOptions().setTcpNoDelay(true).setReuseAddress(true)
-        .setIdleTimeout(IDLE_SECONDS)).connectHandler(this::accept);
+    server =
+        vertx
+            .createNetServer(
+                new NetServerOptions()
+                    .setTcpNoDelay(true)
+                    .setReuseAddress(true)
+                    .setIdleTimeout(IDLE_SECONDS))
+            .connectHandler(this::accept);
     datagrams = vertx.createDatagramSocket(new DatagramSocketOptions()).handler(this::datagram);
-    return server.listen(options.listen()).compose(s -> datagrams.listen(s.actualPort(), options.listen().host())
-        .map(s.actualPort())).onFailure(e -> close());
+    return server
+        .listen(options.listen())
+        .compose(s -> datagrams.listen(s.actualPort(), options.listen().host()).map(s.actualPort()))
+        .onFailure(e -> close());
   }
 
   /** Lets go of the address at once. */
@@ -128,12 +150,15 @@
   void send(String address, Message m) {
     SocketAddress to = way(address);
     byte[] bytes = codec.encode(m);
-    if (to == null || packetsOut.take(1, clock.now()) > 0 || bytesOut.take(bytes.length, clock.now()) > 0) {
+    if (to == null
+        || packetsOut.take(1, clock.now()) > 0
+        || bytesOut.take(bytes.length, clock.now()) > 0) {
       counters.add(Count.FLEET_PACKETS_DROPPED);
       return;
     }
     counters.add(Count.FLEET_PACKETS_SENT);
-    datagrams.send(Buffer.buffer(bytes), to.port(), to.host())
+    datagrams
+        .send(Buffer.buffer(bytes), to.port(), to.host())
         .onFailure(e -> counters.add(Count.FLEET_PACKETS_DROPPED)); // as if lost on the way
   }
 
@@ -141,21 +166,33 @@
   void send(String address, Parcel p) {
     byte[] bytes = codec.encode(p);
     SocketAddress to = way(address);
-    if (to == null || packetsOut.take(1, clock.now()) > 0 || bytesOut.take(bytes.length, clock.now()) > 0) {
+    if (to == null
+        || packetsOut.take(1, clock.now()) > 0
+        || bytesOut.take(bytes.length, clock.now()) > 0) {
       counters.add(Count.FLEET_PACKETS_DROPPED);
     } else if (bytes.length <= Codec.MOST_DATAGRAM) {
       counters.add(Count.FLEET_PACKETS_SENT);
-      datagrams.send(Buffer.buffer(bytes), to.port(), to.host()).onFailure(e -> counters.add(Count.FLEET_PACKETS_DROPPED));
+      datagrams
+          .send(Buffer.buffer(bytes), to.port(), to.host())
+          .onFailure(e -> counters.add(Count.FLEET_PACKETS_DROPPED));
     } else if (bytes.length <= Codec.MOST_FRAME && account.open(Use.PEERS)) {
-      client.connect(to).onFailure(e -> account.close(Use.PEERS)).onSuccess(socket -> {
-        long timer = vertx.setTimer(EXCHANGE_MILLIS, t -> socket.close()); // guards the place against one that does not read
-        socket.exceptionHandler(e -> socket.close());
-        socket.closeHandler(v -> {
-          vertx.cancelTimer(timer);
-          account.close(Use.PEERS);
-        });
-        Frames.send(socket, bytes).onSuccess(v -> socket.close());
-      });
+      client
+          .connect(to)
+          .onFailure(e -> account.close(Use.PEERS))
+          .onSuccess(
+              socket -> {
+                long timer =
+                    vertx.setTimer(
+                        EXCHANGE_MILLIS,
+                        t -> socket.close()); // guards the place against one that does not read
+                socket.exceptionHandler(e -> socket.close());
+                socket.closeHandler(
+                    v -> {
+                      vertx.cancelTimer(timer);
+                      account.close(Use.PEERS);
+                    });
+                Frames.send(socket, bytes).onSuccess(v -> socket.close());
+              });
     } else {
       counters.add(Count.FLEET_PACKETS_DROPPED);
     }
@@ -190,13 +227,16 @@
   private SocketAddress way(String address) {
     String to = options.via().getOrDefault(address, address);
     int colon = to.lastIndexOf(':');
-    if (colon <= 0 || !NetUtil.isValidIpV4Address(to.substring(0, colon))
-        && !NetUtil.isValidIpV6Address(to.substring(0, colon))) {
+    if (colon <= 0
+        || !NetUtil.isValidIpV4Address(to.substring(0, colon))
+            && !NetUtil.isValidIpV6Address(to.substring(0, colon))) {
       return null;
     }
     try {
       int port = Integer.parseInt(to.substring(colon + 1));
-      return port > 0 && port <= 65_535 ? SocketAddress.inetSocketAddress(port, to.substring(0, colon)) : null;
+      return port > 0 && port <= 65_535
+          ? SocketAddress.inetSocketAddress(port, to.substring(0, colon))
+          : null;
     } catch (NumberFormatException e) {
       return null;
     }
@@ -204,39 +244,62 @@
 
   // ---------------------------------------------------------------- full exchanges
 
-  /** Tells all to an address; what it tells in turn. Fails with {@link Unreachable}, and within a bound of time. */
+  /**
+   * Tells all to an address; what it tells in turn. Fails with {@link Unreachable}, and within a
+   * bound of time.
+   */
   Future<List<Claim>> exchange(String address, List<Claim> mine) {
     SocketAddress to = way(address);
-    if (to == null || bytesOut.take((double) CLAIM_BYTES * mine.size(), clock.now()) > 0 || !account.open(Use.PEERS)) {
-      return Future.failedFuture(new Unreachable("no address, or nothing left to spend on it", false));
+    if (to == null
+        || bytesOut.take((double) CLAIM_BYTES * mine.size(), clock.now()) > 0
+        || !account.open(Use.PEERS)) {
+      return Future.failedFuture(
+          new Unreachable("no address, or nothing left to spend on it", false));
     }
     counters.add(Count.FLEET_EXCHANGES);
     Promise<List<Claim>> told = Promise.promise();
-    client.connect(to).onFailure(e -> {
-      account.close(Use.PEERS);
-      told.tryFail(new Unreachable(String.valueOf(e.getMessage()), e instanceof ConnectException
-          && !(e instanceof ConnectTimeoutException)));
-    }).onSuccess(socket -> {
-      long timer = vertx.setTimer(EXCHANGE_MILLIS, t -> socket.close());
-      List<Claim> theirs = new ArrayList<>();
-      Frames frames = new Frames(codec, socket, p -> { }, f -> {
-        if (collected(theirs, f)) {
-          told.tryComplete(theirs);
-          socket.close();
-        }
-      }, this::unusable);
-      socket.exceptionHandler(e -> socket.close());
-      socket.closeHandler(v -> {
-        vertx.cancelTimer(timer);
-        account.close(Use.PEERS);
-        told.tryFail(new Unreachable("closed, or not answered in time", false));
-      });
-      frames.send(mine);
-    });
+    client
+        .connect(to)
+        .onFailure(
+            e -> {
+              account.close(Use.PEERS);
+              told.tryFail(
+                  new Unreachable(
+                      String.valueOf(e.getMessage()),
+                      e instanceof ConnectException && !(e instanceof ConnectTimeoutException)));
+            })
+        .onSuccess(
+            socket -> {
+              long timer = vertx.setTimer(EXCHANGE_MILLIS, t -> socket.close());
+              List<Claim> theirs = new ArrayList<>();
+              Frames frames =
+                  new Frames(
+                      codec,
+                      socket,
+                      p -> {},
+                      f -> {
+                        if (collected(theirs, f)) {
+                          told.tryComplete(theirs);
+                          socket.close();
+                        }
+                      },
+                      this::unusable);
+              socket.exceptionHandler(e -> socket.close());
+              socket.closeHandler(
+                  v -> {
+                    vertx.cancelTimer(timer);
+                    account.close(Use.PEERS);
+                    told.tryFail(new Unreachable("closed, or not answered in time", false));
+                  });
+              frames.send(mine);
+            });
     return told.future();
   }
 
-  /** Guards the memory against a list without an end: what is beyond the members that may be known is passed over. */
+  /**
+   * Guards the memory against a list without an end: what is beyond the members that may be known
+   * is passed over.
+   */
   private boolean collected(List<Claim> all, Frame f) {
     if (f.kind() != Frame.Kind.SYNC) {
       return false;
@@ -252,30 +315,49 @@
       socket.close();
       return;
     }
-    long timer = vertx.setTimer(EXCHANGE_MILLIS, t -> socket.close()); // guards the place against one that is slow for ever
+    long timer =
+        vertx.setTimer(
+            EXCHANGE_MILLIS,
+            t -> socket.close()); // guards the place against one that is slow for ever
     socket.exceptionHandler(e -> socket.close());
-    socket.closeHandler(v -> {
-      vertx.cancelTimer(timer);
-      account.close(Use.PEERS);
-    });
+    socket.closeHandler(
+        v -> {
+          vertx.cancelTimer(timer);
+          account.close(Use.PEERS);
+        });
     List<Claim> theirs = new ArrayList<>();
     Frames[] self = new Frames[1];
-    self[0] = new Frames(codec, socket, hearer::parcel, f -> {
-      if (!hearer.hasTime() && f.kind() == Frame.Kind.SYNC) {
-        socket.close();
-      } else if (f.kind() == Frame.Kind.CALL) {
-        hearer.call(f.text()).onComplete(text -> self[0].send(f.kind(), text), e -> self[0].send(f.kind(), "{\"fault\":"
-            + new JsonPrimitive(String.valueOf(e.getMessage())) + "}"));
-      } else if (f.kind() != Frame.Kind.SYNC) {
-        self[0].send(f.kind(), f.kind() == Frame.Kind.VIEW ? hearer.view() : hearer.leave());
-      } else if (collected(theirs, f)) {
-        List<Claim> mine = hearer.merge(theirs);
-        if (bytesOut.take((double) CLAIM_BYTES * mine.size(), clock.now()) > 0) {
-          socket.close();
-        } else {
-          self[0].send(mine);
-        }
-      }
-    }, this::unusable);
+    self[0] =
+        new Frames(
+            codec,
+            socket,
+            hearer::parcel,
+            f -> {
+              if (!hearer.hasTime() && f.kind() == Frame.Kind.SYNC) {
+                socket.close();
+              } else if (f.kind() == Frame.Kind.CALL) {
+                hearer
+                    .call(f.text())
+                    .onComplete(
+                        text -> self[0].send(f.kind(), text),
+                        e ->
+                            self[0].send(
+                                f.kind(),
+                                "{\"fault\":"
+                                    + new JsonPrimitive(String.valueOf(e.getMessage()))
+                                    + "}"));
+              } else if (f.kind() != Frame.Kind.SYNC) {
+                self[0].send(
+                    f.kind(), f.kind() == Frame.Kind.VIEW ? hearer.view() : hearer.leave());
+              } else if (collected(theirs, f)) {
+                List<Claim> mine = hearer.merge(theirs);
+                if (bytesOut.take((double) CLAIM_BYTES * mine.size(), clock.now()) > 0) {
+                  socket.close();
+                } else {
+                  self[0].send(mine);
+                }
+              }
+            },
+            this::unusable);
   }
 }
--- a/src/main/java/umberrun/fleet/net/Codec.java
+++ b/src/main/java/umberrun/fleet/net/Codec.java
@@ -13,13 +13,14 @@
 import umberrun.fleet.Message;
 
 /**
- * The bytes of datagrams and frames: arrays of MessagePack, to which later versions add at the end. What is beyond the fields
- * known here is passed over.
+ * The bytes of datagrams and frames: arrays of MessagePack, to which later versions add at the end.
+ * What is beyond the fields known here is passed over.
  */
 public final class Codec {
   /** Bytes that can't be used; the message says why. */
   public static final class Unusable extends Exception {
     private static final long serialVersionUID = 1;
+
     /** Whether they are of another fleet or version, and not wrong. */
     public final boolean foreign;
 
@@ -32,7 +33,12 @@
   /** A piece of a full exchange, or an operator's call and its answer. */
   public record Frame(Kind kind, boolean last, List<Claim> claims, String text) {
     /** What a frame is for. CALL is an operator's call of a part that uses the fleet's listener. */
-    public enum Kind { SYNC, VIEW, LEAVE, CALL }
+    public enum Kind {
+      SYNC,
+      VIEW,
+      LEAVE,
+      CALL
+    }
   }
 
   /**
@@ -42,30 +48,39 @@
    * @param to its name: whoever has the address now may be another
    * @param address where the sender hears answers
    */
-  public record Parcel(String topic, String to, String from, String address, byte[] body) { }
+  public record Parcel(String topic, String to, String from, String address, byte[] body) {}
 
   public static final int MOST_DATAGRAM = 1_400;
   public static final int MOST_FRAME = 80 << 10;
+
   /** Claims in a frame: a claim is shorter than 512 bytes, as the names in it are bounded. */
   static final int CLAIMS_A_FRAME = 100;
+
   /** Characters in a name or address. */
   public static final int MOST_TEXT = 64;
+
   private static final int VERSION = 1;
   private static final int CLAIM_FIELDS = 8;
   private static final int ABOUT_FIELDS = 8;
   private static final int DATAGRAM_FIELDS = 8;
   private static final int FRAME_FIELDS = 6;
   private static final int PARCEL_FIELDS = 8;
+
   /** Where a message and a frame have their kind. */
   private static final int PARCEL = 64;
+
   private static final int MOST_CLAIMS = 256;
+
   /** Guards the arithmetic of lives and incarnations against a liar. */
   private static final long MOST_NUMBER = 1L << 52;
+
   private static final int MOST_LIFE = 1 << 30;
 
   private final String fleet;
 
-  /** @param fleet its name; empty for an operator, who calls any fleet, but takes part in none */
+  /**
+   * @param fleet its name; empty for an operator, who calls any fleet, but takes part in none
+   */
   public Codec(String fleet) {
     this.fleet = fleet;
   }
@@ -84,7 +99,10 @@
 
   private byte[] encode(Message m, int news) {
     try (MessageBufferPacker out = head(DATAGRAM_FIELDS)) {
-      out.packByte((byte) m.kind().ordinal()).packLong(m.seq()).packString(m.target()).packString(m.address());
+      out.packByte((byte) m.kind().ordinal())
+          .packLong(m.seq())
+          .packString(m.target())
+          .packString(m.address());
       pack(out, m.from());
       pack(out, m.news().subList(0, news));
       return out.toByteArray();
@@ -108,8 +126,13 @@
   /** A datagram's or frame's content. */
   public byte[] encode(Parcel p) {
     try (MessageBufferPacker out = head(PARCEL_FIELDS)) {
-      out.packInt(PARCEL).packString(p.topic).packString(p.to).packString(p.from).packString(p.address)
-          .packBinaryHeader(p.body.length).writePayload(p.body);
+      out.packInt(PARCEL)
+          .packString(p.topic)
+          .packString(p.to)
+          .packString(p.from)
+          .packString(p.address)
+          .packBinaryHeader(p.body.length)
+          .writePayload(p.body);
       return out.toByteArray();
     } catch (IOException e) {
       throw new IllegalStateException(e); // a buffer in memory
@@ -130,14 +153,27 @@
   }
 
   private static void pack(MessageBufferPacker out, Claim c) throws IOException {
-    out.packArrayHeader(CLAIM_FIELDS).packString(c.name()).packInt(c.life().number()).packLong(c.life().startId())
-        .packLong(c.incarnation()).packByte((byte) c.status().ordinal()).packString(c.accuser()).packLong(c.age());
+    out.packArrayHeader(CLAIM_FIELDS)
+        .packString(c.name())
+        .packInt(c.life().number())
+        .packLong(c.life().startId())
+        .packLong(c.incarnation())
+        .packByte((byte) c.status().ordinal())
+        .packString(c.accuser())
+        .packLong(c.age());
     About a = c.about();
     if (a == null) {
       out.packNil();
     } else {
-      out.packArrayHeader(ABOUT_FIELDS).packString(a.hall()).packString(a.address()).packByte((byte) a.state().ordinal())
-          .packString(a.learning()).packString(a.door()).packString(a.release()).packInt(a.traffic()).packBoolean(a.informed());
+      out.packArrayHeader(ABOUT_FIELDS)
+          .packString(a.hall())
+          .packString(a.address())
+          .packByte((byte) a.state().ordinal())
+          .packString(a.learning())
+          .packString(a.door())
+          .packString(a.release())
+          .packInt(a.traffic())
+          .packBoolean(a.informed());
     }
   }
 
@@ -163,7 +199,12 @@
     try (MessageUnpacker in = MessagePack.newDefaultUnpacker(bytes)) {
       int extra = extra(in.unpackArrayHeader(), FRAME_FIELDS);
       boolean member = known(in, true);
-      Frame f = new Frame(one(Frame.Kind.values(), in.unpackInt()), in.unpackBoolean(), claims(in), in.unpackString());
+      Frame f =
+          new Frame(
+              one(Frame.Kind.values(), in.unpackInt()),
+              in.unpackBoolean(),
+              claims(in),
+              in.unpackString());
       in.skipValue(extra);
       if (!member && f.kind == Frame.Kind.SYNC) {
         throw new Unusable("an exchange of no fleet", true);
@@ -183,7 +224,9 @@
         return null;
       }
       int extra = extra(fields, PARCEL_FIELDS);
-      Parcel p = new Parcel(text(in), text(in), text(in), text(in), in.readPayload(in.unpackBinaryHeader()));
+      Parcel p =
+          new Parcel(
+              text(in), text(in), text(in), text(in), in.readPayload(in.unpackBinaryHeader()));
       in.skipValue(extra);
       return p;
     } catch (IOException | MessagePackException | IllegalArgumentException e) {
@@ -228,17 +271,40 @@
     Claim.Status status = one(Claim.Status.values(), in.unpackInt());
     String accuser = text(in);
     long age = in.unpackLong();
-    require(!name.isEmpty() && life > 0 && life < MOST_LIFE && incarnation >= 0 && incarnation < MOST_NUMBER && age >= 0
-        && age < MOST_NUMBER, "figures that can't be");
-    Claim c = new Claim(name, new Life(life, startId), incarnation, status, in.tryUnpackNil() ? null : about(in), accuser, age);
+    require(
+        !name.isEmpty()
+            && life > 0
+            && life < MOST_LIFE
+            && incarnation >= 0
+            && incarnation < MOST_NUMBER
+            && age >= 0
+            && age < MOST_NUMBER,
+        "figures that can't be");
+    Claim c =
+        new Claim(
+            name,
+            new Life(life, startId),
+            incarnation,
+            status,
+            in.tryUnpackNil() ? null : about(in),
+            accuser,
+            age);
     in.skipValue(extra);
     return c;
   }
 
   private static About about(MessageUnpacker in) throws IOException {
     int extra = extra(in.unpackArrayHeader(), ABOUT_FIELDS);
-    About a = new About(text(in), text(in), one(About.State.values(), in.unpackInt()), text(in), text(in), text(in),
-        in.unpackInt(), in.unpackBoolean());
+    About a =
+        new About(
+            text(in),
+            text(in),
+            one(About.State.values(), in.unpackInt()),
+            text(in),
+            text(in),
+            text(in),
+            in.unpackInt(),
+            in.unpackBoolean());
     in.skipValue(extra);
     return a;
   }
--- a/src/main/java/umberrun/fleet/net/FleetClient.java
+++ b/src/main/java/umberrun/fleet/net/FleetClient.java
@@ -13,7 +13,7 @@
 public final class FleetClient {
   private static final int PATIENCE_MILLIS = 5_000;
 
-  private FleetClient() { }
+  private FleetClient() {}
 
   /** What a member answers, as JSON. */
   public static String ask(String host, int port, Frame.Kind kind) throws IOException {
@@ -21,7 +21,8 @@
   }
 
   /** The same with words, as parts that use the fleet's listener want them. */
-  public static String ask(String host, int port, Frame.Kind kind, String words) throws IOException {
+  public static String ask(String host, int port, Frame.Kind kind, String words)
+      throws IOException {
     Codec codec = new Codec("");
     try (Socket socket = new Socket()) {
       socket.setSoTimeout(PATIENCE_MILLIS);
--- a/src/main/java/umberrun/fleet/net/FleetPart.java
+++ b/src/main/java/umberrun/fleet/net/FleetPart.java
@@ -41,8 +41,8 @@
 import umberrun.stats.Journal;
 
 /**
- * The view of the fleet in a front end: carries the {@link Membership} on the one loop, tells it of this front end, and tells
- * the owner and others of the view.
+ * The view of the fleet in a front end: carries the {@link Membership} on the one loop, tells it of
+ * this front end, and tells the owner and others of the view.
  */
 public final class FleetPart implements Outbox, Carrier.Hearer {
   /**
@@ -52,13 +52,17 @@
    * @param door where operators call it, or empty
    * @param siblings the settings' number of front ends
    */
-  public record Identity(String name, String hall, String learning, String door, int siblings, long seed) { }
+  public record Identity(
+      String name, String hall, String learning, String door, int siblings, long seed) {}
 
   private static final long BEAT_MILLIS = 500;
+
   /** An elder process of this front end may hold the address for as long as it lives. */
   private static final long BIND_MILLIS = 50;
+
   /** Traffic is news for all members: told this seldom, and seldomer the more there are. */
   private static final long TRAFFIC_MICROS = 10_000_000;
+
   private static final long TRAFFIC_MICROS_EACH = 500_000;
   private static final double TRAFFIC_CHANGE = 0.25;
   private static final long SEEDS_MILLIS = 5_000;
@@ -78,15 +82,21 @@
   private final Carrier carrier;
   private final Map<Timer, Long> timers = new HashMap<>();
   private final Map<String, Guest> guests = new LinkedHashMap<>();
-  /** Where parcels came from lately: a view that does not know a member is no reason not to answer it. */
-  private final Map<String, String> addresses = new LinkedHashMap<>(16, 0.75f, true) {
-    private static final long serialVersionUID = 1;
 
-    @Override
-    protected boolean removeEldestEntry(Map.Entry<String, String> eldest) {
-      return size() > MOST_ADDRESSES;
-    }
-  };
+  /**
+   * Where parcels came from lately: a view that does not know a member is no reason not to answer
+   * it.
+   */
+  private final Map<String, String> addresses =
+      new LinkedHashMap<>(16, 0.75f, true) {
+        private static final long serialVersionUID = 1;
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<String, String> eldest) {
+          return size() > MOST_ADDRESSES;
+        }
+      };
+
   private final Promise<Void> met = Promise.promise();
   private final Random random;
   private Consul consul;
@@ -111,9 +121,19 @@
     void changed();
   }
 
-  /** @param state how far this front end is with serving clients */
-  public FleetPart(Vertx vertx, Owner owner, Clock clock, Counters counters, Account account, FleetOptions options,
-      Identity identity, Supplier<Duty.State> state, Consumer<String> log) {
+  /**
+   * @param state how far this front end is with serving clients
+   */
+  public FleetPart(
+      Vertx vertx,
+      Owner owner,
+      Clock clock,
+      Counters counters,
+      Account account,
+      FleetOptions options,
+      Identity identity,
+      Supplier<Duty.State> state,
+      Consumer<String> log) {
     this.vertx = vertx;
     this.owner = owner;
     this.clock = clock;
@@ -140,30 +160,51 @@
     if (over) {
       return;
     }
-    carrier.listen().onSuccess(port -> {
-      if (over) {
-        carrier.close();
-        return;
-      }
-      advertised = options.advertise().isEmpty() ? options.listen().host() + ":" + port : options.advertise();
-      begin();
-    }).onFailure(e -> {
-      if (first) {
-        log.accept("fleet: " + options.listen() + " is not to be had yet: " + e.getMessage());
-      }
-      vertx.setTimer(BIND_MILLIS, t -> bind(false));
-    });
+    carrier
+        .listen()
+        .onSuccess(
+            port -> {
+              if (over) {
+                carrier.close();
+                return;
+              }
+              advertised =
+                  options.advertise().isEmpty()
+                      ? options.listen().host() + ":" + port
+                      : options.advertise();
+              begin();
+            })
+        .onFailure(
+            e -> {
+              if (first) {
+                log.accept(
+                    "fleet: " + options.listen() + " is not to be had yet: " + e.getMessage());
+              }
+              vertx.setTimer(BIND_MILLIS, t -> bind(false));
+            });
   }
 
   private void begin() {
-    Settings settings = new Settings(options.name(), options.join(), options.intervalMillis() * MS,
-        options.timeoutMillis() * MS, options.exchangeMillis() * MS, options.reconnectMillis() * MS,
-        options.sureMillis() * MS, options.forgetMillis() * MS, options.settleMillis() * MS, options.members(),
-        identity.siblings(), true);
+    Settings settings =
+        new Settings(
+            options.name(),
+            options.join(),
+            options.intervalMillis() * MS,
+            options.timeoutMillis() * MS,
+            options.exchangeMillis() * MS,
+            options.reconnectMillis() * MS,
+            options.sureMillis() * MS,
+            options.forgetMillis() * MS,
+            options.settleMillis() * MS,
+            options.members(),
+            identity.siblings(),
+            true);
     SplittableRandom drawn = new SplittableRandom(identity.seed());
-    membership = new Membership(settings, identity.name(), drawn.nextLong(), about(), drawn.split(), this);
+    membership =
+        new Membership(settings, identity.name(), drawn.nextLong(), about(), drawn.split(), this);
     membership.start(clock.now());
-    log.accept("fleet: member " + identity.name() + " of " + options.name() + " listens on " + advertised);
+    log.accept(
+        "fleet: member " + identity.name() + " of " + options.name() + " listens on " + advertised);
     refresh();
     beat();
     guests.values().forEach(Guest::changed);
@@ -175,9 +216,17 @@
 
   private About about() {
     Duty.State own = state.get();
-    About.State told = own == Duty.State.HANDING_OVER ? About.State.SERVING : About.State.valueOf(own.name());
-    return new About(identity.hall(), advertised, told, identity.learning(), identity.door(), options.release(),
-        traffic, false);
+    About.State told =
+        own == Duty.State.HANDING_OVER ? About.State.SERVING : About.State.valueOf(own.name());
+    return new About(
+        identity.hall(),
+        advertised,
+        told,
+        identity.learning(),
+        identity.door(),
+        options.release(),
+        traffic,
+        false);
   }
 
   /** Tells what has changed here, and what passes with time alone. */
@@ -219,42 +268,64 @@
     if (over) {
       return;
     }
-    consul.members().onSuccess(found -> {
-      Set<String> all = new LinkedHashSet<>(options.join());
-      all.addAll(found);
-      membership.seeds(List.copyOf(all));
-    }).onComplete(r -> vertx.setTimer(r.failed() ? BEAT_MILLIS : SEEDS_MILLIS / 2 + random.nextInt((int) SEEDS_MILLIS),
-        t -> look()));
+    consul
+        .members()
+        .onSuccess(
+            found -> {
+              Set<String> all = new LinkedHashSet<>(options.join());
+              all.addAll(found);
+              membership.seeds(List.copyOf(all));
+            })
+        .onComplete(
+            r ->
+                vertx.setTimer(
+                    r.failed()
+                        ? BEAT_MILLIS
+                        : SEEDS_MILLIS / 2 + random.nextInt((int) SEEDS_MILLIS),
+                    t -> look()));
   }
 
   // ---------------------------------------------------------------- what others want of the view
 
-  /** Those that live and tell what they know, those of the own hall first; given as soon as one is met, or after a moment. */
+  /**
+   * Those that live and tell what they know, those of the own hall first; given as soon as one is
+   * met, or after a moment.
+   */
   public Future<List<SocketAddress>> learners() {
     long timer = vertx.setTimer(MEET_MILLIS, t -> met.tryComplete());
-    return met.future().map(v -> {
-      vertx.cancelTimer(timer);
-      if (membership == null) {
-        return List.of();
-      }
-      List<Peer> living = new ArrayList<>();
-      membership.peers().forEach(p -> {
-        if (p.claim().status() == Claim.Status.ALIVE && !p.claim().about().learning().isEmpty()) {
-          living.add(p);
-        }
-      });
-      Collections.shuffle(living, random); // guards one of them against all that start at once
-      living.sort(Comparator.comparing(p -> !p.claim().about().hall().equals(identity.hall())));
-      List<SocketAddress> addresses = new ArrayList<>();
-      for (Peer p : living) {
-        String a = p.claim().about().learning();
-        int colon = a.lastIndexOf(':');
-        if (colon > 0 && a.substring(colon + 1).matches("\\d{1,5}")) {
-          addresses.add(SocketAddress.inetSocketAddress(Integer.parseInt(a.substring(colon + 1)), a.substring(0, colon)));
-        }
-      }
-      return addresses;
-    });
+    return met.future()
+        .map(
+            v -> {
+              vertx.cancelTimer(timer);
+              if (membership == null) {
+                return List.of();
+              }
+              List<Peer> living = new ArrayList<>();
+              membership
+                  .peers()
+                  .forEach(
+                      p -> {
+                        if (p.claim().status() == Claim.Status.ALIVE
+                            && !p.claim().about().learning().isEmpty()) {
+                          living.add(p);
+                        }
+                      });
+              Collections.shuffle(
+                  living, random); // guards one of them against all that start at once
+              living.sort(
+                  Comparator.comparing(p -> !p.claim().about().hall().equals(identity.hall())));
+              List<SocketAddress> addresses = new ArrayList<>();
+              for (Peer p : living) {
+                String a = p.claim().about().learning();
+                int colon = a.lastIndexOf(':');
+                if (colon > 0 && a.substring(colon + 1).matches("\\d{1,5}")) {
+                  addresses.add(
+                      SocketAddress.inetSocketAddress(
+                          Integer.parseInt(a.substring(colon + 1)), a.substring(0, colon)));
+                }
+              }
+              return addresses;
+            });
   }
 
   /** Where others reach it; null until it listens. */
@@ -262,7 +333,10 @@
     return advertised;
   }
 
-  /** Says good-bye; {@code succeeded} where another process is this member from now on, which is told nobody. */
+  /**
+   * Says good-bye; {@code succeeded} where another process is this member from now on, which is
+   * told nobody.
+   */
   public void leave(boolean succeeded) {
     if (over) {
       return;
@@ -302,7 +376,9 @@
     return membership != null && !over;
   }
 
-  /** Sends to a member by name; where nobody knows its address, or it is lost, nothing comes of it. */
+  /**
+   * Sends to a member by name; where nobody knows its address, or it is lost, nothing comes of it.
+   */
   public void post(String topic, String member, byte[] body) {
     if (!isOpen()) {
       return;
@@ -311,8 +387,12 @@
       vertx.runOnContext(v -> deliver(topic, member, body));
       return;
     }
-    String address = membership.peers().stream().filter(p -> p.claim().name().equals(member)).map(p -> p.claim().about().address())
-        .findFirst().orElse(addresses.get(member));
+    String address =
+        membership.peers().stream()
+            .filter(p -> p.claim().name().equals(member))
+            .map(p -> p.claim().about().address())
+            .findFirst()
+            .orElse(addresses.get(member));
     if (address != null) {
       carrier.send(address, new Codec.Parcel(topic, member, identity.name(), advertised, body));
     }
@@ -352,7 +432,8 @@
   public Future<String> call(String words) {
     List<String> all = List.of(words.trim().split("\\s+"));
     Guest guest = guests.get(all.get(0));
-    return guest == null ? Future.failedFuture("'" + all.get(0) + "' is not switched on here")
+    return guest == null
+        ? Future.failedFuture("'" + all.get(0) + "' is not switched on here")
         : guest.call(all.subList(1, all.size()));
   }
 
@@ -438,25 +519,35 @@
 
   @Override
   public void exchange(String address) {
-    if (!owner.isOnTime() && membership.living() > 0) { // calls come first, but a start is always late
+    if (!owner.isOnTime()
+        && membership.living() > 0) { // calls come first, but a start is always late
       membership.unreachable(address, false);
       return;
     }
-    carrier.exchange(address, membership.all(clock.now())).onSuccess(theirs -> {
-      membership.exchanged(clock.now(), address, theirs);
-      refresh();
-    }).onFailure(e -> membership.unreachable(address, e instanceof Carrier.Unreachable u && u.refused));
+    carrier
+        .exchange(address, membership.all(clock.now()))
+        .onSuccess(
+            theirs -> {
+              membership.exchanged(clock.now(), address, theirs);
+              refresh();
+            })
+        .onFailure(
+            e -> membership.unreachable(address, e instanceof Carrier.Unreachable u && u.refused));
   }
 
   @Override
   public void start(Timer timer, long at) {
     cancel(timer);
     long wait = Math.max(1, (at - clock.now() + MS - 1) / MS);
-    timers.put(timer, vertx.setTimer(wait, t -> {
-      timers.remove(timer);
-      long now = clock.now();
-      membership.due(now, timer, Math.max(now - at, owner.lag()));
-    }));
+    timers.put(
+        timer,
+        vertx.setTimer(
+            wait,
+            t -> {
+              timers.remove(timer);
+              long now = clock.now();
+              membership.due(now, timer, Math.max(now - at, owner.lag()));
+            }));
   }
 
   @Override
@@ -473,7 +564,7 @@
     switch (c.kind()) {
       case CLASH, YIELDED -> counters.add(Count.FLEET_CLASHES);
       case ACCUSED_SELF -> counters.add(Count.FLEET_ACCUSED);
-      default -> { }
+      default -> {}
     }
     Claim claim = c.claim();
     Map<String, Object> figures = new LinkedHashMap<>();
@@ -486,11 +577,12 @@
     figures.put("by", c.by());
     figures.put("living", membership.living() + 1);
     journal.say(c.kind().name().toLowerCase(Locale.ROOT).replace('_', ' '), figures);
-    vertx.runOnContext(v -> {
-      if (!over) {
-        refresh(); // once the message that changed it is worked off
-        guests.values().forEach(Guest::changed);
-      }
-    });
+    vertx.runOnContext(
+        v -> {
+          if (!over) {
+            refresh(); // once the message that changed it is worked off
+            guests.values().forEach(Guest::changed);
+          }
+        });
   }
 }
