--- a/src/test/java/umberrun/works/WorksSeedsTest.java
+++ b/src/test/java/umberrun/works/WorksSeedsTest.java
@@ -16,44 +16,83 @@
 import umberrun.works.sim.WorksTrial;
 import umberrun.works.sim.WorksTrial.Maker;
 
-/** Plans under faults that a seed draws, variants that must be caught, and the ledger's own rules. */
+/**
+ * Plans under faults that a seed draws, variants that must be caught, and the ledger's own rules.
+ */
 public class WorksSeedsTest {
   private static final long SECOND = 1_000_000;
-  private static final Maker SOUND = new Maker() { };
+  private static final Maker SOUND = new Maker() {};
 
   private int freed;
   private int sends;
   private int forced;
 
   private static Plan plan(String id, int atOnce, boolean oneHall, int floor, int hallFloor) {
-    return new Plan(id, "op", "new disks", atOnce, oneHall, floor, hallFloor, 20_000, Late.WAIT, false, false, State.RUNNING, "");
+    return new Plan(
+        id,
+        "op",
+        "new disks",
+        atOnce,
+        oneHall,
+        floor,
+        hallFloor,
+        20_000,
+        Late.WAIT,
+        false,
+        false,
+        State.RUNNING,
+        "");
   }
 
   private String play(long seed, Maker maker) {
     SplittableRandom random = new SplittableRandom(seed);
-    WorksTrial t = new WorksTrial(3 + random.nextInt(3), 1 + random.nextInt(3), 3, random.nextLong(), maker);
+    WorksTrial t =
+        new WorksTrial(3 + random.nextInt(3), 1 + random.nextInt(3), 3, random.nextLong(), maker);
     int atOnce = 1 + random.nextInt(2);
     try {
       t.run(2 * SECOND);
       List<String> names = new ArrayList<>(t.names());
-      t.plan(0, "p", plan("p", atOnce, random.nextBoolean(), Math.max(0, names.size() - 2 - random.nextInt(2)), 0),
+      t.plan(
+          0,
+          "p",
+          plan(
+              "p",
+              atOnce,
+              random.nextBoolean(),
+              Math.max(0, names.size() - 2 - random.nextInt(2)),
+              0),
           names.subList(0, names.size() / 2 + 1));
       for (int i = 0; i < 12; i++) {
         draw(t, random, names, atOnce);
         t.run(random.nextLong(3 * SECOND));
       }
       fair(t, names);
-      for (int i = 0; i < 40 && t.ledger().plans().stream().anyMatch(p -> !p.state().isOver()); i++) {
+      for (int i = 0;
+          i < 40 && t.ledger().plans().stream().anyMatch(p -> !p.state().isOver());
+          i++) {
         t.run(5 * SECOND);
-        // The people go on with what waits for them: a machine that was cancelled in the middle of work, or fell from its hall.
-        t.ledger().machines().stream().filter(m -> m.stage() == Stage.FREE && (m.overdue() || t.ledger().plan(m.plan()).orElseThrow()
-            .state() == State.CANCELLED)).forEach(m -> t.order(0, l -> l.done("op", m.name())));
+        // The people go on with what waits for them: a machine that was cancelled in the middle of
+        // work, or fell from its hall.
+        t.ledger().machines().stream()
+            .filter(
+                m ->
+                    m.stage() == Stage.FREE
+                        && (m.overdue()
+                            || t.ledger().plan(m.plan()).orElseThrow().state() == State.CANCELLED))
+            .forEach(m -> t.order(0, l -> l.done("op", m.name())));
       }
       freed += t.freed();
       sends += t.sends();
-      // Machines that are gone for ever may leave a floor that can't be met: then that is what it says.
-      boolean floors = !t.why().isEmpty() && t.why().stream().allMatch(p -> p.reasons().stream().anyMatch(r -> r.contains("must stay")));
-      return floors || t.ledger().plans().stream().allMatch(p -> p.state().isOver()) && !t.ledger().plans().isEmpty() ? null
+      // Machines that are gone for ever may leave a floor that can't be met: then that is what it
+      // says.
+      boolean floors =
+          !t.why().isEmpty()
+              && t.why().stream()
+                  .allMatch(p -> p.reasons().stream().anyMatch(r -> r.contains("must stay")));
+      return floors
+              || t.ledger().plans().stream().allMatch(p -> p.state().isOver())
+                  && !t.ledger().plans().isEmpty()
+          ? null
           : "seed " + seed + ": not ended: " + t.waits();
     } catch (WorksTrial.Broken e) {
       return "seed " + seed + ": " + e.getMessage();
@@ -73,7 +112,12 @@
       t.listed(n);
     }
     t.run(4 * SECOND);
-    t.order(0, l -> l.plan("p").map(p -> p.state() == State.PAUSED || p.state() == State.HELD).orElse(false) ? l.resume("op", "p") : l);
+    t.order(
+        0,
+        l ->
+            l.plan("p").map(p -> p.state() == State.PAUSED || p.state() == State.HELD).orElse(false)
+                ? l.resume("op", "p")
+                : l);
     t.plan(0, "p", plan("p", 2, false, 0, 0), names.subList(0, 2)); // where even the plan was lost
     t.run(SECOND);
   }
@@ -103,7 +147,8 @@
         t.reachable(false);
         t.net().at(later, () -> t.reachable(true));
       }
-      case 5 -> t.net().links(0.2 * random.nextDouble(), 0.1, 200, 5_000 + random.nextLong(SECOND / 4));
+      case 5 ->
+          t.net().links(0.2 * random.nextDouble(), 0.1, 200, 5_000 + random.nextLong(SECOND / 4));
       case 6 -> {
         t.load(2 + random.nextDouble());
         t.net().at(later, () -> t.load(1));
@@ -149,7 +194,9 @@
 
   @Test
   public void nothingReachesAMachineThatIsFreeAndEachPlanEnds() {
-    for (long seed = Integer.getInteger("from", 1); seed <= Integer.getInteger("seeds", 150); seed++) {
+    for (long seed = Integer.getInteger("from", 1);
+        seed <= Integer.getInteger("seeds", 150);
+        seed++) {
       assertNull(play(seed, SOUND));
     }
     System.out.println("works: " + freed + " machines freed beside " + sends + " sends");
@@ -159,48 +206,59 @@
   /** Guards the checks: silence is taken for a yes. */
   @Test
   public void silenceAsAYesIsCaught() {
-    assertNotNull(firstBroken(500, new Maker() {
-      @Override
-      public Driver driver(long fence) {
-        return new Driver(WorksTrial.SETTINGS, fence) {
-          @Override
-          protected boolean hasAnswered(Member member, Machine m, List<Report> reports, boolean quiet) {
-            return super.hasAnswered(member, m, reports, quiet) || reports.stream().noneMatch(r -> r.member().equals(member));
-          }
-        };
-      }
-    }));
+    assertNotNull(
+        firstBroken(
+            500,
+            new Maker() {
+              @Override
+              public Driver driver(long fence) {
+                return new Driver(WorksTrial.SETTINGS, fence) {
+                  @Override
+                  protected boolean hasAnswered(
+                      Member member, Machine m, List<Report> reports, boolean quiet) {
+                    return super.hasAnswered(member, m, reports, quiet)
+                        || reports.stream().noneMatch(r -> r.member().equals(member));
+                  }
+                };
+              }
+            }));
   }
 
   /** Guards the checks: a holder that acts on what was, under whatever fence. */
   @Test
   public void actingWithoutTheFenceIsCaught() {
-    assertNotNull(firstBroken(2_000, new Maker() {
-      @Override
-      public Driver driver(long fence) {
-        return new Driver(WorksTrial.SETTINGS, fence) {
-          @Override
-          protected boolean isOvertaken(Ledger seen, Ledger now) {
-            return false;
-          }
+    assertNotNull(
+        firstBroken(
+            2_000,
+            new Maker() {
+              @Override
+              public Driver driver(long fence) {
+                return new Driver(WorksTrial.SETTINGS, fence) {
+                  @Override
+                  protected boolean isOvertaken(Ledger seen, Ledger now) {
+                    return false;
+                  }
 
-          @Override
-          protected long under(Ledger l) {
-            return Math.max(l.fence(), super.under(l));
-          }
-        };
-      }
-    }));
+                  @Override
+                  protected long under(Ledger l) {
+                    return Math.max(l.fence(), super.under(l));
+                  }
+                };
+              }
+            }));
   }
 
   /** Guards the checks: a start that serves before it has read the bans. */
   @Test
   public void forgettingBansAtARestartIsCaught() {
-    assertNotNull(firstBroken(500, new Maker() {
-      @Override
-      public boolean forgetsBans() {
-        return true;
-      }
-    }));
+    assertNotNull(
+        firstBroken(
+            500,
+            new Maker() {
+              @Override
+              public boolean forgetsBans() {
+                return true;
+              }
+            }));
   }
 }
