Counters of what the check at the write withheld, and why calls are refused unseen

Need: a log of the incident's kind could not say what was kept back, nor why a call was refused before the module saw it. Change: sends_withheld; calls_refused_late and calls_refused_crowded beside calls_refused.

--- a/src/main/java/umberrun/core/Owner.java
+++ b/src/main/java/umberrun/core/Owner.java
@@ -340,7 +340,9 @@
       return;
     }
     Request r = call.request;
-    if (!isOnTime() || calls.size() > MOST_CALLS || bytesInHand > MOST_BYTES) {
+    boolean crowded = calls.size() > MOST_CALLS || bytesInHand > MOST_BYTES;
+    if (!isOnTime() || crowded) {
+      counters.add(crowded ? Count.CALLS_REFUSED_CROWDED : Count.CALLS_REFUSED_LATE);
       refuse(call, GUARD_BACKOFF_MILLIS);
       return;
     }
--- a/src/main/java/umberrun/worker/Link.java
+++ b/src/main/java/umberrun/worker/Link.java
@@ -26,6 +26,9 @@
      */
     boolean mayStart(long now);
 
+    /** New work was given back unwritten, since it may no longer start. */
+    void withheld();
+
     void closed(Link link);
   }
 
@@ -243,7 +246,11 @@
       long now = clock.now();
       // Guards rule 3, and callers who have gone: what was queued before the worker drained, or
       // before its caller left.
-      if (x.isNewWork() && !home.mayStart(now) || !x.isWanted(now)) {
+      boolean withheld = x.isNewWork() && !home.mayStart(now);
+      if (withheld) {
+        home.withheld();
+      }
+      if (withheld || !x.isWanted(now)) {
         drop(x);
         x.lost(Code.MOOT);
         continue;
--- a/src/main/java/umberrun/worker/WorkerPool.java
+++ b/src/main/java/umberrun/worker/WorkerPool.java
@@ -115,6 +115,11 @@
       return now < stopAt && endpoint.state() != State.GONE && now < leases.leaseUntil(id);
     }
 
+    @Override
+    public void withheld() {
+      counters.add(Count.SENDS_WITHHELD);
+    }
+
     /**
      * Guards rule 3 against bytes that still wait in a full connection when nothing new may come.
      */
--- a/src/test/java/umberrun/worker/WorkerPoolTest.java
+++ b/src/test/java/umberrun/worker/WorkerPoolTest.java
@@ -114,6 +114,9 @@
                     vertx,
                     new Clock(),
                     new Link.Home() {
+                      @Override
+                      public void withheld() {}
+
                       @Override
                       public boolean mayStart(long now) {
                         return true;
