A successor takes over leases of ready workers only: a drain the elder had heard holds

Cause, found by reading the repair: the elder left the lease of every worker on its list, also of those that it knew to drain. A successor whose configuration is older than that drain, with discovery out of reach, took it for ready until the lease ended. Change: DiscoveryWatch.left tells only workers that the list says are ready; who is not told is held back until discovery is heard.

--- a/src/main/java/umberrun/core/DiscoveryWatch.java
+++ b/src/main/java/umberrun/core/DiscoveryWatch.java
@@ -5,6 +5,7 @@
 import java.util.Collection;
 import java.util.List;
 import java.util.Map;
+import java.util.TreeMap;
 import java.util.function.Consumer;
 import umberrun.discovery.Contact;
 import umberrun.discovery.WorkerLeases;
@@ -25,6 +26,9 @@
 
     String name(int worker);
 
+    /** Whether the list says that a worker is ready. */
+    boolean isListedReady(int worker);
+
     /** What holds for these workers has changed. */
     void restate(Collection<Integer> workers);
 
@@ -113,16 +117,21 @@
 
   /**
    * What is left of the leases, by name, for a process that takes over; null while there is no
-   * discovery to lose.
+   * discovery to lose. Not of a worker that the list drains: the other process may not know.
    */
   Map<String, Long> left() {
     if (!contact.isFollowed()) {
       return null;
     }
-    Map<String, Long> named = new java.util.TreeMap<>();
+    Map<String, Long> named = new TreeMap<>();
     leases
         .left(clock.now(), table.workers())
-        .forEach((worker, left) -> named.put(table.name(worker), left));
+        .forEach(
+            (worker, left) -> {
+              if (table.isListedReady(worker)) {
+                named.put(table.name(worker), left);
+              }
+            });
     return named;
   }
 
--- a/src/main/java/umberrun/core/Owner.java
+++ b/src/main/java/umberrun/core/Owner.java
@@ -658,6 +658,11 @@
       return roster.find(worker).endpoint().name();
     }
 
+    @Override
+    public boolean isListedReady(int worker) {
+      return roster.find(worker).endpoint().state() == State.READY;
+    }
+
     @Override
     public void restate(Collection<Integer> workers) {
       Owner.this.restate(workers.stream().map(this::name).toList());
--- a/src/test/java/umberrun/DiscoveryOutageIT.java
+++ b/src/test/java/umberrun/DiscoveryOutageIT.java
@@ -35,6 +35,9 @@
 
   private static final long BEFORE_DRAIN_MILLIS = 400;
 
+  /** By then a drain has been told, where discovery is well, and its grace is over. */
+  private static final long HEARD_MILLIS = 2_500;
+
   /**
    * Each of two front ends tries each of two such workers every 8 s at the latest, and a wait may
    * have begun just before.
@@ -91,6 +94,7 @@
   private List<DrainableWorker> drainTheBusiest(int count) {
     List<DrainableWorker> busiest =
         hosts.stream()
+            .filter(h -> !h.isDraining())
             .sorted(Comparator.comparingInt((DrainableWorker h) -> h.work.get()).reversed())
             .limit(count)
             .toList();
@@ -163,14 +167,17 @@
   }
 
   /**
-   * Within the outage one front end is upgraded with the configuration of its start, one is killed
-   * and started again, one is told that discovery has moved to where nobody listens, and one stands
-   * still across the end of its leases.
+   * Within the outage one front end is upgraded with the configuration of its start, which does not
+   * know of a drain that all have heard, one is killed and started again, one is told that
+   * discovery has moved to where nobody listens, and one stands still across the end of its leases.
    */
   @Test
   public void startsMovesAndLateMachinesKeepTheRuleToo() throws Exception {
     start(4, 8, 30);
     Processes.await("too few calls", PATIENCE_SECONDS, () -> calls.get() > 400);
+    DrainableWorker heard = drainTheBusiest(1).get(0);
+    Thread.sleep(HEARD_MILLIS);
+    int usual = heard.work.get();
     reach(Reach.REFUSES, Reach.REFUSES, Reach.REFUSES, Reach.REFUSES);
     Thread.sleep(BEFORE_DRAIN_MILLIS);
     List<DrainableWorker> drained = drainTheBusiest(2);
@@ -196,8 +203,9 @@
     Processes.await(
         "a ready worker gets no work once discovery is back",
         PATIENCE_SECONDS,
-        () -> hosts.stream().allMatch(h -> drained.contains(h) || h.work.get() > before[h.number]));
+        () -> hosts.stream().allMatch(h -> h.isDraining() || h.work.get() > before[h.number]));
     assertNoneLate(drained);
+    assertEquals("sent to one whose drain was heard", usual, heard.work.get());
     assertTrue(
         "the successor did not go on with the leases",
         node(0).said().contains("leases of workers"));
