--- a/review/rig/Rig.java
+++ b/review/rig/Rig.java
@@ -13,6 +13,7 @@
 
 /** A small deployment: change log, workers of three halls, and one front end. */
 final class Rig implements AutoCloseable {
+  private static final int LOG_LINES = 20;
   private static final long LONGEST_MILLIS = 110_000;
 
   static final String FUNCTION = "7f3a9c21e0b4d655";
@@ -49,6 +50,8 @@
     log = tmp.resolve("front-ends.log");
     Files.createDirectories(tmp.resolve("shared"));
     Runtime.getRuntime().addShutdownHook(new Thread(this::endProcesses));
+    Thread.currentThread()
+        .setUncaughtExceptionHandler((thread, e) -> end(2, "the case itself failed: " + e));
     Thread watchdog = new Thread(this::endInTime);
     watchdog.setDaemon(true);
     watchdog.start();
@@ -126,13 +129,25 @@
   }
 
   /** Ends with the verdict: 1 if the rule was broken, 0 if it held, 2 if the case could not run. */
-  void end(int verdict, String reason) {
+  synchronized void end(int verdict, String reason) {
     record.line((verdict == 0 ? "HELD: " : verdict == 1 ? "BROKEN: " : "COULD NOT RUN: ") + reason);
     System.out.println((verdict == 0 ? "held: " : verdict == 1 ? "broken: " : "could not run: ") + reason);
     close();
     Runtime.getRuntime().halt(verdict);
   }
 
+  /** Adds the last lines that the front ends wrote to the record. */
+  private void recordLog() {
+    try {
+      List<String> lines = new ArrayList<>(Files.readAllLines(log));
+      lines.removeIf(line -> line.startsWith("\tat "));
+      lines.subList(Math.max(0, lines.size() - LOG_LINES), lines.size())
+          .forEach(line -> record.line("log: " + line));
+    } catch (IOException e) {
+      record.line("no log: " + e);
+    }
+  }
+
   private void endProcesses() {
     helpers.forEach(Process::destroyForcibly);
     started.forEach(FrontEnd::kill);
@@ -141,6 +156,7 @@
   @Override
   public void close() {
     endProcesses();
+    recordLog();
     changeLog.close();
     try {
       for (Worker worker : workers) {
