--- a/review/rig/Worker.java
+++ b/review/rig/Worker.java
@@ -12,6 +12,8 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
@@ -38,6 +40,13 @@
   private final Record record;
   private final Behaviour behaviour;
   private final List<Run> runs;
+
+  /** The requests that are held, by function. */
+  private final Map<String, Integer> held = new HashMap<>();
+
+  /** The ids of requests that were given up. */
+  private final Set<String> stopped = ConcurrentHashMap.newKeySet();
+
   private final ScheduledExecutorService timer =
       Executors.newScheduledThreadPool(
           1,
@@ -94,6 +103,7 @@
         String command = text(parts.get(0));
         switch (command) {
           case "RUN" -> run(socket, parts);
+          case "STOP" -> stopped.add(text(parts.get(1)));
           case "HOLD" -> write(socket, text(parts.get(1)), "200", "pods=1", new byte[0]);
           case "NOOP", "INFO" ->
               write(socket, text(parts.get(1)), "alive", "l=util:0.2;x1:0;x0:0.2", new byte[0]);
@@ -121,12 +131,23 @@
     }
     record.line("RUN at " + name + " of " + hall + " id=" + run.id() + " sort=" + run.sort()
         + " asset=" + run.asset() + (run.op().isEmpty() ? "" : " op=" + run.op()));
+    int before;
+    synchronized (held) {
+      before = held.merge(run.asset(), 1, Integer::sum) - 1;
+    }
+    String fieldsOfAnswer = "n=w" + (before > 0 ? ",depth=" + before : "");
     long delay = behaviour.delay(run);
     if (delay >= 0) {
       timer.schedule(
           () -> {
+            synchronized (held) {
+              held.merge(run.asset(), -1, Integer::sum);
+            }
+            if (stopped.remove(run.id())) {
+              return;
+            }
             try {
-              write(socket, run.id(), "200", "n=w", behaviour.answer(run));
+              write(socket, run.id(), "200", fieldsOfAnswer, behaviour.answer(run));
               record.line("answer 200 of " + name + " to id=" + run.id());
             } catch (IOException e) {
               // the connection has ended
