Counters: levels for what the invoke API holds, in number, bodies and results

Cause: the counters told events alone. Change: counters that may fall, printed with the others: invocations_held, invocation_body_bytes, invocation_result_bytes.

--- a/src/main/java/umberrun/core/Invocation.java
+++ b/src/main/java/umberrun/core/Invocation.java
@@ -52,6 +52,11 @@
     return result;
   }
 
+  /** Whether it is kept after its end, for its result or its key. */
+  boolean isKept() {
+    return deferred || scopedKey != null;
+  }
+
   /** Passes the result to {@code waiter} once it is there; at once if it is. */
   public void await(Consumer<Result> waiter) {
     if (result != null) {
--- a/src/main/java/umberrun/core/InvocationRegistry.java
+++ b/src/main/java/umberrun/core/InvocationRegistry.java
@@ -105,11 +105,15 @@
             deferred,
             clock.now() + request.budget());
     boolean queueIsFull = deferred && queue.size() >= limits.queue;
-    if (queueIsFull || (deferred || scopedKey != null) && !makeRoom()) {
+    if (queueIsFull || invocation.isKept() && !makeRoom()) {
       counters.add(Count.DEFERRED_REFUSED);
       invocation.complete(new Result.Refused(OVERLOAD_BACKOFF_MILLIS, true));
       return invocation;
     }
+    if (invocation.isKept()) {
+      counters.add(Count.INVOCATIONS_HELD);
+      counters.change(Count.INVOCATION_BODY_BYTES, request.body().length());
+    }
     if (scopedKey != null) {
       byKey.put(scopedKey, invocation);
     }
@@ -224,8 +228,9 @@
       // It never ran, so a retry with the same key starts a new invocation.
       byKey.remove(invocation.scopedKey, invocation);
     }
-    if (invocation.complete(result) && (invocation.deferred || invocation.scopedKey != null)) {
+    if (invocation.complete(result) && invocation.isKept()) {
       resultBytes += invocation.resultBytes();
+      counters.change(Count.INVOCATION_RESULT_BYTES, invocation.resultBytes());
       completed.add(invocation);
       invocation.timerId = vertx.setTimer(limits.keepMillis, t -> discard(invocation));
     }
@@ -264,6 +269,9 @@
     }
     if (completed.remove(invocation)) {
       resultBytes -= invocation.resultBytes();
+      counters.change(Count.INVOCATIONS_HELD, -1);
+      counters.change(Count.INVOCATION_BODY_BYTES, -invocation.request.body().length());
+      counters.change(Count.INVOCATION_RESULT_BYTES, -invocation.resultBytes());
     }
   }
 
--- a/src/main/java/umberrun/stats/Counters.java
+++ b/src/main/java/umberrun/stats/Counters.java
@@ -10,9 +10,10 @@
  */
 public final class Counters {
   /**
-   * The counted events. A counter is printed under the constant's name in lower case, or under the
-   * name given to the constructor where that differs. Printed names are part of the operators'
-   * interface and must not change; the order of the constants is the order of printing.
+   * The counted events, and levels, whose description says so. A counter is printed under the
+   * constant's name in lower case, or under the name given to the constructor where that differs.
+   * Printed names are part of the operators' interface and must not change; the order of the
+   * constants is the order of printing.
    */
   public enum Count {
     /** Calls submitted to the dispatch loop. */
@@ -145,7 +146,13 @@
     /** Repeated calls attached to the invocation with the same idempotency key. */
     DEFERRED_JOINED,
     /** Deferred or keyed invocations refused because the registry was full. */
-    DEFERRED_REFUSED("deferred_turned_away");
+    DEFERRED_REFUSED("deferred_turned_away"),
+    /** A level: invocations that are queued, run, or are kept for their result or key. */
+    INVOCATIONS_HELD,
+    /** A level: request bodies held by invocations, in bytes. */
+    INVOCATION_BODY_BYTES,
+    /** A level: results held by invocations, in bytes. */
+    INVOCATION_RESULT_BYTES;
 
     private final String printedName;
 
@@ -170,6 +177,11 @@
     counts[count.ordinal()]++;
   }
 
+  /** Changes a level, which unlike the other counters may fall. */
+  public void change(Count level, long difference) {
+    counts[level.ordinal()] += difference;
+  }
+
   /** The current value of a counter. */
   public long get(Count count) {
     return counts[count.ordinal()];
--- a/src/test/java/umberrun/stats/CounterNamesTest.java
+++ b/src/test/java/umberrun/stats/CounterNamesTest.java
@@ -86,7 +86,10 @@
           "works_moves",
           "deferred_taken",
           "deferred_joined",
-          "deferred_turned_away");
+          "deferred_turned_away",
+          "invocations_held",
+          "invocation_body_bytes",
+          "invocation_result_bytes");
 
   @Test
   public void printedNamesAndTheirOrderAreFixed() {
