Invoke API: what is kept of a call that is over is small, and all of it is charged

Cause: InvocationRegistry kept each completed invocation for its key (60 s, up to 4,096) with its whole Request and Call, body included, to compare repeats with it; result_bytes counted the bodies of results alone, and those only when a call was admitted. So 64 MiB of bodies passed a limit of 8 MiB that they were not counted in; the heap is 64 MiB. Bodies of queued calls were in no account either (1,000 x 16 KiB). Results were ruled out (12 KB). The new InvocationRetention, free of I/O, charges result, key and a fixed 1 KiB; results that end together beyond the limit give up the oldest bodies (410), never a key within its window. Queued bodies have queue_bytes (4 MiB). Bodies are copied to their size when they are whole. Why it works: what grows with calls is charged where it is kept, so the sum has a bound: 4,096 invocations take some 5 of 8 MiB.

--- a/src/main/java/umberrun/config/OperatorFile.java
+++ b/src/main/java/umberrun/config/OperatorFile.java
@@ -65,6 +65,7 @@
             : null,
         new Limits(
             (int) positive(deferred, "queue", 1_000),
+            positive(deferred, "queue_bytes", 4 << 20),
             (int) positive(deferred, "in_hand", 64),
             (int) positive(deferred, "results", 4_096),
             positive(deferred, "result_bytes", 8 << 20),
--- a/src/main/java/umberrun/core/Invocation.java
+++ b/src/main/java/umberrun/core/Invocation.java
@@ -11,18 +11,32 @@
 public final class Invocation {
   private final String id;
 
+  /**
+   * Memory that an invocation takes beside its key and the body of its result, in bytes: objects,
+   * the entries of the maps, its timer.
+   */
+  private static final int FIXED_BYTES = 1_024;
+
   /** The idempotency key together with the client that it belongs to, or null. */
   final String scopedKey;
 
-  final Request request;
+  /** What repeats under the key are compared with; null without a key. */
+  private final CallFingerprint fingerprint;
+
+  /** The request; null once the invocation is over, as its body may be long. */
+  private Request request;
+
   final boolean deferred;
   final long deadline;
   private final List<Consumer<Result>> waiters = new ArrayList<>(1);
   private Result result;
 
-  /** The call that runs this invocation, or null before it starts. */
+  /** The call that runs this invocation, or null before it starts and once it is over. */
   Call call;
 
+  /** Whether it was submitted to the dispatch loop, so that it may have run. */
+  private boolean started;
+
   /**
    * Whether a client was given a location to fetch the result from, though the invocation began as
    * a synchronous one.
@@ -37,6 +51,7 @@
   Invocation(String id, String scopedKey, Request request, boolean deferred, long deadline) {
     this.id = id;
     this.scopedKey = scopedKey;
+    this.fingerprint = scopedKey == null ? null : CallFingerprint.of(request);
     this.request = request;
     this.deferred = deferred;
     this.deadline = deadline;
@@ -57,6 +72,37 @@
     return deferred || scopedKey != null;
   }
 
+  /** The request; to be called before the invocation is over. */
+  Request request() {
+    return request;
+  }
+
+  /** The size of the request's body in bytes while it is held, else 0. */
+  int requestBodyBytes() {
+    return request == null ? 0 : request.body().length();
+  }
+
+  /** Sets the call that runs this invocation. */
+  void start(Call running) {
+    call = running;
+    started = true;
+  }
+
+  /** Whether the call may have taken effect, as far as its result tells. */
+  boolean mayHaveRun() {
+    return started && !(result instanceof Result.Refused);
+  }
+
+  /** What a completed invocation takes, in bytes. */
+  int memoryBytes() {
+    return FIXED_BYTES + (scopedKey == null ? 0 : scopedKey.length()) + resultBytes();
+  }
+
+  /** Gives up the body of the result. */
+  void dropResult() {
+    result = new Result.Dropped();
+  }
+
   /** Passes the result to {@code waiter} once it is there; at once if it is. */
   public void await(Consumer<Result> waiter) {
     if (result != null) {
@@ -85,6 +131,8 @@
       return false;
     }
     result = value;
+    request = null;
+    call = null;
     List<Consumer<Result>> notified = List.copyOf(waiters);
     waiters.clear();
     notified.forEach(w -> w.accept(value));
@@ -93,12 +141,10 @@
 
   /** Whether a request with the same key is a retry of this one, rather than a different call. */
   boolean isSameCall(Request other) {
-    return other.callClass() == request.callClass()
-        && other.function() == request.function()
-        && other.body().equals(request.body());
+    return fingerprint.equals(CallFingerprint.of(other));
   }
 
-  /** The size of the result's body. */
+  /** The size of the result's body in bytes. */
   int resultBytes() {
     return result instanceof Result.Served s ? s.body().length() : 0;
   }
--- a/src/main/java/umberrun/core/InvocationRegistry.java
+++ b/src/main/java/umberrun/core/InvocationRegistry.java
@@ -4,7 +4,6 @@
 import io.vertx.core.buffer.Buffer;
 import java.util.ArrayDeque;
 import java.util.HashMap;
-import java.util.LinkedHashSet;
 import java.util.Map;
 import java.util.UUID;
 import java.util.function.Consumer;
@@ -31,12 +30,14 @@
    * Limits of the registry.
    *
    * @param queue how many deferred invocations may wait
+   * @param queueBytes total size of their bodies in bytes
    * @param inFlight how many deferred invocations run at once
    * @param results how many completed invocations are kept
-   * @param resultBytes total size of their results in bytes
+   * @param resultBytes what completed invocations may take in memory, in bytes
    * @param keepMillis how long a result is kept, in milliseconds
    */
-  public record Limits(int queue, int inFlight, int results, long resultBytes, long keepMillis) {}
+  public record Limits(
+      int queue, long queueBytes, int inFlight, int results, long resultBytes, long keepMillis) {}
 
   private static final long OVERLOAD_BACKOFF_MILLIS = 1_000;
 
@@ -46,21 +47,23 @@
   private final Counters counters;
   private final Limits limits;
 
-  /** The longest deduplication window of all call classes, in microseconds. */
-  private final long dedupWindow;
-
   private final Map<String, Invocation> byId = new HashMap<>();
   private final Map<String, Invocation> byKey = new HashMap<>();
   private final ArrayDeque<Invocation> queue = new ArrayDeque<>();
 
-  /** Completed invocations, the oldest first. */
-  private final LinkedHashSet<Invocation> completed = new LinkedHashSet<>();
+  private final InvocationRetention retention;
 
   /** Deferred invocations that run. */
   private int inFlight;
 
-  /** Total size of the results of completed invocations. */
-  private long resultBytes;
+  /** Total size of the bodies of queued invocations. */
+  private long queuedBytes;
+
+  /** Invocations that are queued, run or are kept. */
+  private int held;
+
+  /** Total size of their request bodies. */
+  private long heldBodyBytes;
 
   public InvocationRegistry(
       Vertx vertx, Clock clock, DispatchLoop dispatchLoop, Counters counters, Limits limits) {
@@ -69,8 +72,10 @@
     this.dispatchLoop = dispatchLoop;
     this.counters = counters;
     this.limits = limits;
-    this.dedupWindow =
+    long longestDedupWindow =
         dispatchLoop.settings().classes().stream().mapToLong(c -> c.dedupWindow()).max().orElse(0);
+    this.retention =
+        new InvocationRetention(limits.results, limits.resultBytes, longestDedupWindow);
   }
 
   /**
@@ -104,15 +109,15 @@
             request,
             deferred,
             clock.now() + request.budget());
-    boolean queueIsFull = deferred && queue.size() >= limits.queue;
-    if (queueIsFull || invocation.isKept() && !makeRoom()) {
+    if (deferred && !hasRoomInQueue(request) || invocation.isKept() && !makeRoom()) {
       counters.add(Count.DEFERRED_REFUSED);
       invocation.complete(new Result.Refused(OVERLOAD_BACKOFF_MILLIS, true));
       return invocation;
     }
     if (invocation.isKept()) {
-      counters.add(Count.INVOCATIONS_HELD);
-      counters.change(Count.INVOCATION_BODY_BYTES, request.body().length());
+      held++;
+      heldBodyBytes += invocation.requestBodyBytes();
+      publishLevels();
     }
     if (scopedKey != null) {
       byKey.put(scopedKey, invocation);
@@ -124,6 +129,7 @@
     counters.add(Count.DEFERRED_TAKEN);
     byId.put(invocation.id(), invocation);
     queue.add(invocation);
+    queuedBytes += invocation.requestBodyBytes();
     // A call that is still queued at its deadline never ran, so it is refused: a retry does no
     // harm.
     invocation.timerId =
@@ -131,7 +137,7 @@
             Math.max(1, request.budget() / 1_000),
             t -> {
               invocation.timerId = -1;
-              if (queue.remove(invocation)) {
+              if (removeFromQueue(invocation)) {
                 complete(invocation, new Result.Refused(OVERLOAD_BACKOFF_MILLIS, false));
               }
             });
@@ -151,7 +157,7 @@
   public void cancel(Invocation invocation) {
     if (invocation.result() != null) {
       discard(invocation);
-    } else if (queue.remove(invocation)) {
+    } else if (removeFromQueue(invocation)) {
       complete(invocation, new Result.Cancelled());
       discard(invocation);
     } else {
@@ -181,16 +187,32 @@
 
   private void startQueued() {
     while (inFlight < limits.inFlight && !queue.isEmpty()) {
-      Invocation invocation = queue.poll();
+      Invocation invocation = queue.peek();
+      removeFromQueue(invocation);
       cancelTimer(invocation);
       inFlight++;
       start(invocation);
     }
   }
 
+  private boolean hasRoomInQueue(Request request) {
+    return queue.size() < limits.queue
+        && queuedBytes + request.body().length() <= limits.queueBytes;
+  }
+
+  /** Takes an invocation out of the queue; false if it is not queued. */
+  private boolean removeFromQueue(Invocation invocation) {
+    if (!queue.remove(invocation)) {
+      return false;
+    }
+    queuedBytes -= invocation.requestBodyBytes();
+    return true;
+  }
+
   private void start(Invocation invocation) {
-    Request request = invocation.request.withBudget(Math.max(1, invocation.deadline - clock.now()));
-    invocation.call =
+    Request request =
+        invocation.request().withBudget(Math.max(1, invocation.deadline - clock.now()));
+    invocation.start(
         dispatchLoop.submit(
             request,
             new Reply() {
@@ -208,7 +230,7 @@
               public void failed(boolean timedOut) {
                 finish(invocation, new Result.Failed(timedOut));
               }
-            });
+            }));
   }
 
   private void finish(Invocation invocation, Result result) {
@@ -228,23 +250,23 @@
       // It never ran, so a retry with the same key starts a new invocation.
       byKey.remove(invocation.scopedKey, invocation);
     }
+    int bodyBytes = invocation.requestBodyBytes();
     if (invocation.complete(result) && invocation.isKept()) {
-      resultBytes += invocation.resultBytes();
-      counters.change(Count.INVOCATION_RESULT_BYTES, invocation.resultBytes());
-      completed.add(invocation);
+      heldBodyBytes -= bodyBytes;
+      retention.add(invocation);
       invocation.timerId = vertx.setTimer(limits.keepMillis, t -> discard(invocation));
+      publishLevels();
     }
   }
 
   /**
-   * Discards the oldest results until there is room for another. Returns false where the oldest
-   * must keep its key, as a retry within the deduplication window would otherwise be sent anew.
+   * Discards the oldest invocations until there is room for another. Returns false where the oldest
+   * must keep its key.
    */
   private boolean makeRoom() {
-    while (!completed.isEmpty()
-        && (completed.size() >= limits.results || resultBytes >= limits.resultBytes)) {
-      Invocation oldest = completed.iterator().next();
-      if (clock.now() - oldest.endedAt < dedupWindow) {
+    while (!retention.hasRoom()) {
+      Invocation oldest = retention.evictable(clock.now());
+      if (oldest == null) {
         return false;
       }
       discard(oldest);
@@ -255,26 +277,28 @@
   private void discard(Invocation invocation) {
     cancelTimer(invocation);
     byId.remove(invocation.id(), invocation);
-    if (invocation.scopedKey != null
-        && clock.now() - invocation.endedAt < dedupWindow
-        && !(invocation.result() instanceof Result.Refused)
-        && invocation.call != null) {
+    if (invocation.scopedKey != null && retention.mustKeepKey(invocation, clock.now())) {
       // The key stays bound through the deduplication window, so that no retry is sent to a worker.
-      long remaining = dedupWindow - (clock.now() - invocation.endedAt);
-      invocation.timerId = vertx.setTimer(remaining / 1_000 + 1, t -> discard(invocation));
+      long remaining = retention.keyKeptUntil(invocation) - clock.now();
+      invocation.timerId =
+          vertx.setTimer(Math.max(1, remaining / 1_000 + 1), t -> discard(invocation));
       return;
     }
     if (invocation.scopedKey != null) {
       byKey.remove(invocation.scopedKey, invocation);
     }
-    if (completed.remove(invocation)) {
-      resultBytes -= invocation.resultBytes();
-      counters.change(Count.INVOCATIONS_HELD, -1);
-      counters.change(Count.INVOCATION_BODY_BYTES, -invocation.request.body().length());
-      counters.change(Count.INVOCATION_RESULT_BYTES, -invocation.resultBytes());
+    if (retention.remove(invocation)) {
+      held--;
+      publishLevels();
     }
   }
 
+  private void publishLevels() {
+    counters.set(Count.INVOCATIONS_HELD, held);
+    counters.set(Count.INVOCATION_BODY_BYTES, heldBodyBytes);
+    counters.set(Count.INVOCATION_RESULT_BYTES, retention.bytes());
+  }
+
   private void cancelTimer(Invocation invocation) {
     if (invocation.timerId >= 0) {
       vertx.cancelTimer(invocation.timerId);
--- a/src/main/java/umberrun/core/Result.java
+++ b/src/main/java/umberrun/core/Result.java
@@ -26,6 +26,9 @@
    */
   record Failed(boolean timedOut) implements Result {}
 
+  /** Served, and the worker's bytes are no longer kept for want of memory. */
+  record Dropped() implements Result {}
+
   /** Cancelled by its client. */
   record Cancelled() implements Result {}
 }
--- a/src/main/java/umberrun/front/invoke/InvokeServer.java
+++ b/src/main/java/umberrun/front/invoke/InvokeServer.java
@@ -263,7 +263,8 @@
           vertx.cancelTimer(bodyTimer);
           if (!rejected[0]) {
             try {
-              submit(request, function, body);
+              // A buffer that grew has up to twice the capacity that the body needs.
+              submit(request, function, body.copy());
             } catch (Problem e) {
               counters.add(Count.BAD_REQUESTS);
               e.write(request.response());
@@ -468,6 +469,8 @@
                   ? "no answer in time; it may have run"
                   : "no worker served it; it may have run")
           .write(response);
+    } else if (result instanceof Result.Dropped) {
+      new Problem(410, "it was served, and its result is no longer kept").write(response);
     } else {
       new Problem(410, "the invocation was given up").write(response);
     }
--- a/src/main/java/umberrun/stats/Counters.java
+++ b/src/main/java/umberrun/stats/Counters.java
@@ -149,9 +149,9 @@
     DEFERRED_REFUSED("deferred_turned_away"),
     /** A level: invocations that are queued, run, or are kept for their result or key. */
     INVOCATIONS_HELD,
-    /** A level: request bodies held by invocations, in bytes. */
+    /** A level: request bodies of these invocations, in bytes. */
     INVOCATION_BODY_BYTES,
-    /** A level: results held by invocations, in bytes. */
+    /** A level: what completed invocations are charged for results, keys and the rest, in bytes. */
     INVOCATION_RESULT_BYTES;
 
     private final String printedName;
@@ -177,9 +177,9 @@
     counts[count.ordinal()]++;
   }
 
-  /** Changes a level, which unlike the other counters may fall. */
-  public void change(Count level, long difference) {
-    counts[level.ordinal()] += difference;
+  /** Sets a level. */
+  public void set(Count level, long value) {
+    counts[level.ordinal()] = value;
   }
 
   /** The current value of a counter. */
--- a/src/test/java/umberrun/InvokeScenariosTest.java
+++ b/src/test/java/umberrun/InvokeScenariosTest.java
@@ -163,6 +163,46 @@
     }
   }
 
+  /** Guards against a heap that fills with the bodies of calls that were kept for their keys. */
+  @Test
+  public void bodiesOfCompletedCallsAreNotHeld() throws Exception {
+    try (Scenario s = Scenario.of("w1")) {
+      s.worker("w1").answersAll = true;
+      for (int i = 1; i <= 8; i++) {
+        s.play("h1 " + CHANGE + "Idempotency-Key:k" + i + " size:16384\nh1 expect 200");
+      }
+      assertEquals(8, s.server.counters().get(Count.INVOCATIONS_HELD));
+      assertEquals(0, s.server.counters().get(Count.INVOCATION_BODY_BYTES));
+      // What is kept still tells a repeat from another call.
+      s.play(
+          "h1 "
+              + CHANGE
+              + "Idempotency-Key:k1 size:16384\nh1 expect 200\nh1 "
+              + CHANGE
+              + "Idempotency-Key:k1 size:16383\nh1 expect 409");
+      assertEquals(8, s.server.counters().get(Count.CALLS_TAKEN));
+    }
+  }
+
+  /** Guards against queued calls whose bodies no limit counts. */
+  @Test
+  public void theBodiesOfQueuedCallsAreLimited() throws Exception {
+    try (Scenario s = new Scenario(false, "{\"in_hand\":1,\"queue_bytes\":20000}", "w1")) {
+      String large = LOOKUP + ASYNC + "size:16384\n";
+      s.play(
+          "h1 "
+              + large
+              + "h1 expect 202\nw1 expect RUN\nh2 "
+              + large
+              + "h2 expect 202\nh3 "
+              + large
+              + "h3 expect 429 retry-after=\n"
+              + "w1 send 200 n=w\nw1 expect RUN\nh4 "
+              + large
+              + "h4 expect 202");
+    }
+  }
+
   /**
    * While Consul is unreachable, its last list expires just as the change log's does, since a
    * worker may have become critical meanwhile.
