A process whose event loop breaks down ends, instead of answering nobody

Cause: the thread of the only event loop ended by an Error that nobody looks at; other threads that are not daemons kept the process alive. A handler that fails by want of heap leaves its calls half done, too: the dispatch loop catches RuntimeException alone. Change: EventLoopGuard waits for the end of that thread and is given what handlers throw; the process then ends at once with status 70 and one line. Why it works: the guard waits for the thread itself, whatever ends it, and needs no event loop; the end of the process closes its connections and frees its lock in the shared folder, so clients, the platform and the other process of an upgrade see it at once.

--- a/src/main/java/umberrun/Server.java
+++ b/src/main/java/umberrun/Server.java
@@ -16,6 +16,9 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.logging.Level;
+import java.util.logging.Logger;
 import saddlestall.AdaptiveDispatcher;
 import saddlestall.Dispatcher.CallClass;
 import sun.misc.Signal;
@@ -43,6 +46,8 @@
 
 /** Assembles one front end on a single event loop, and shuts it down on SIGTERM. */
 final class Server {
+  private static final Logger LOGGER = Logger.getLogger(Server.class.getName());
+
   /** New connections and calls keep arriving for at most this long after SIGTERM. */
   private static final long DRAIN_MILLIS = 700;
 
@@ -65,6 +70,9 @@
    */
   private static final long FINAL_CLOSE_MILLIS = 1_000;
 
+  /** Exit status of a process whose event loop broke down. */
+  private static final int EVENT_LOOP_BROKEN_STATUS = 70;
+
   /** Bounds of the time that a process has run before it has read its configuration. */
   private static final long MIN_STARTUP_MILLIS = 300;
 
@@ -75,6 +83,7 @@
   private final CountDownLatch ended = new CountDownLatch(1);
   private final Vertx vertx;
   private final Context context;
+  private final EventLoopGuard eventLoopGuard;
   private DispatchLoop dispatchLoop;
   private RpcServer rpcServer;
   private InvokeServer invokeServer;
@@ -120,8 +129,10 @@
    * Creates the server without opening any socket.
    *
    * @param sharedFolder folder for the handover between processes of this front end, or null
+   * @param onEventLoopBroken called with a reason if the event loop can no longer be relied on
    */
-  Server(Config config, Path sharedFolder) throws InvalidConfig {
+  Server(Config config, Path sharedFolder, Consumer<String> onEventLoopBroken)
+      throws InvalidConfig {
     this.config = config;
     this.connectionLimits = config.connectionLimits();
     this.changeLogAddress = config.changelog();
@@ -145,6 +156,22 @@
                             .setClassPathResolvingEnabled(false)))
             .build();
     this.context = vertx.getOrCreateContext();
+    this.eventLoopGuard = new EventLoopGuard(onEventLoopBroken);
+    vertx.exceptionHandler(
+        thrown -> {
+          eventLoopGuard.onException(thrown);
+          LOGGER.log(Level.SEVERE, "a handler failed", thrown);
+        });
+    context.runOnContext(v -> eventLoopGuard.watch(Thread.currentThread()));
+  }
+
+  /** Ends the process at once. The end in order needs the event loop. */
+  private static void endProcess(String reason) {
+    try {
+      log(reason + ", so this process ends");
+    } finally {
+      Runtime.getRuntime().halt(EVENT_LOOP_BROKEN_STATUS);
+    }
   }
 
   /**
@@ -178,7 +205,8 @@
               config,
               temporary.isEmpty() || config.operatorAddress() == null
                   ? null
-                  : Handover.folder(Path.of(temporary), config.name(), config.deployment()));
+                  : Handover.folder(Path.of(temporary), config.name(), config.deployment()),
+              Server::endProcess);
     } catch (IOException e) {
       throw new InvalidConfig("TMPDIR cannot be used: " + e);
     }
@@ -643,6 +671,7 @@
 
   /** Closes all sockets at once, without a shutdown in order. */
   Future<Void> close() {
+    eventLoopGuard.stop();
     return vertx.close();
   }
 
--- a/src/test/java/umberrun/Scenario.java
+++ b/src/test/java/umberrun/Scenario.java
@@ -123,6 +123,9 @@
   /** The front end that was started last. */
   Server server;
 
+  /** Receives the reason if the event loop of a front end breaks down. */
+  volatile Consumer<String> onEventLoopBroken = reason -> {};
+
   /** The name of the front end that is started next. */
   String name = "n1";
 
@@ -218,7 +221,7 @@
   }
 
   private Server start(Map<String, String> env) throws Exception {
-    return open(new Server(Config.read(env), sharedFolder));
+    return open(new Server(Config.read(env), sharedFolder, this::reportBrokenLoop));
   }
 
   private Server open(Server opened) throws Exception {
@@ -227,6 +230,10 @@
     return opened;
   }
 
+  private void reportBrokenLoop(String reason) {
+    onEventLoopBroken.accept(reason);
+  }
+
   /**
    * Starts a second front end at the same client address, so that new clients reach either of them.
    *
@@ -247,7 +254,7 @@
     CompletableFuture<Server> made = new CompletableFuture<>();
     Server.handleSignals(env, made);
     write(config(0));
-    Server next = new Server(Config.read(env), sharedFolder);
+    Server next = new Server(Config.read(env), sharedFolder, this::reportBrokenLoop);
     moveChangeLogBy(
         text -> {
           write(text);
@@ -314,15 +321,7 @@
    * @param door the port of its operator interface
    */
   Process startSuccessorProcess(Path temporary, int door, String settings) throws Exception {
-    write(config(server.rpcPort(), settings));
-    return process(
-        temporary,
-        door,
-        Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-        "-cp",
-        System.getProperty("java.class.path"),
-        "umberrun.Main",
-        "serve");
+    return startSuccessor(temporary, door, settings, "umberrun.Main");
   }
 
   /**
@@ -330,22 +329,37 @@
    * configuration.
    */
   Process startSuccessorIgnoringHup(Path temporary, int door) throws Exception {
-    write(config(server.rpcPort()));
-    return process(
-        temporary,
-        door,
-        "sh",
-        "-c",
-        "trap '' HUP; exec \"$0\" \"$@\"",
-        Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-        "-cp",
-        System.getProperty("java.class.path"),
-        "umberrun.Main",
-        "serve");
-  }
-
-  private Process process(Path temporary, int door, String... command) throws Exception {
-    ProcessBuilder builder = new ProcessBuilder(command).inheritIO();
+    return startSuccessor(
+        temporary, door, settings, "umberrun.Main", "sh", "-c", "trap '' HUP; exec \"$0\" \"$@\"");
+  }
+
+  /**
+   * Starts a second process of this front end and waits until it is ready.
+   *
+   * @param temporary its folder for temporary files
+   * @param mainClass runs it, given the argument {@code serve}
+   * @param launcher the start of the command line that runs the virtual machine
+   */
+  Process startSuccessor(
+      Path temporary, int door, String settings, String mainClass, String... launcher)
+      throws Exception {
+    write(config(server.rpcPort(), settings));
+    List<String> command = new ArrayList<>(List.of(launcher));
+    command.addAll(
+        List.of(
+            Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+            "-cp",
+            System.getProperty("java.class.path"),
+            mainClass,
+            "serve"));
+    return process(temporary, door, command);
+  }
+
+  private Process process(Path temporary, int door, List<String> command) throws Exception {
+    ProcessBuilder builder =
+        new ProcessBuilder(command)
+            .redirectOutput(ProcessBuilder.Redirect.INHERIT)
+            .redirectError(ProcessBuilder.Redirect.INHERIT);
     builder
         .environment()
         .putAll(
