Invoke API: answers that nobody reads are charged, to the budget of both fronts

Cause: the platform's front bounds the answers that wait for slow readers (a twelfth of memory_mb); the invoke API wrote any number of them, and asking again for a kept result costs a caller 80 bytes for up to 1 MiB here. Change: AnswerBudget, free of I/O, is that bound for both fronts. Without room a kept result is to be asked for again (503), another call's answer fails (502). Why it works: bytes are charged before the write and given back by its end, sent or not, as at the other front.

--- a/src/main/java/umberrun/Server.java
+++ b/src/main/java/umberrun/Server.java
@@ -23,6 +23,7 @@
 import saddlestall.Dispatcher.CallClass;
 import sun.misc.Signal;
 import sun.misc.SignalHandler;
+import umberrun.admission.AnswerBudget;
 import umberrun.admission.ConnectionLimits;
 import umberrun.config.Config;
 import umberrun.config.Config.InvalidConfig;
@@ -379,6 +380,7 @@
       changeLog.loadInitial(config.initialEvents());
       workerListSources.add(changeLog);
     }
+    AnswerBudget answerBudget = new AnswerBudget(config.answerBytes(), connectionLimits);
     rpcServer =
         new RpcServer(
             vertx,
@@ -388,7 +390,7 @@
             lifecycle,
             clock,
             connectionLimits,
-            config.answerBytes());
+            answerBudget);
     if (operatorFile != null && operatorFile.invoke() != null) {
       invokeServer =
           new InvokeServer(
@@ -399,7 +401,8 @@
               config.names(),
               lifecycle,
               clock,
-              connectionLimits);
+              connectionLimits,
+              answerBudget);
     }
     if (operatorFile != null && operatorFile.consul() != null) {
       if (operatorFile.listsWorkers()) {
--- a/src/main/java/umberrun/front/invoke/InvokeServer.java
+++ b/src/main/java/umberrun/front/invoke/InvokeServer.java
@@ -22,6 +22,7 @@
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import saddlestall.Dispatcher.CallClass;
+import umberrun.admission.AnswerBudget;
 import umberrun.admission.ConnectionLimits;
 import umberrun.admission.ConnectionLimits.Purpose;
 import umberrun.config.Config.SettingNames;
@@ -57,6 +58,7 @@
   private static final long LINGER_MILLIS = 500;
 
   private static final long SHUTDOWN_RETRY_MILLIS = 1_000;
+  private static final long ANSWER_RETRY_MILLIS = 1_000;
   private static final long MAX_POLL_MILLIS = 30_000;
 
   private final Vertx vertx;
@@ -66,6 +68,7 @@
   private final Counters counters;
   private final SettingNames names;
   private final ConnectionLimits connectionLimits;
+  private final AnswerBudget answerBudget;
   private final SecureRandom random = new SecureRandom();
 
   /** Connections without a request so far, with their timeout timers, oldest first. */
@@ -84,7 +87,9 @@
       SettingNames names,
       Lifecycle lifecycle,
       Clock clock,
-      ConnectionLimits connectionLimits) {
+      ConnectionLimits connectionLimits,
+      AnswerBudget answerBudget) {
+    this.answerBudget = answerBudget;
     this.vertx = vertx;
     this.lifecycle = lifecycle;
     this.clock = clock;
@@ -305,7 +310,7 @@
       if (!preferences.async()) {
         await(request, invocation, 0, null);
       } else if (invocation.result() instanceof Result.Refused refused && refused.overloaded()) {
-        answer(request.response(), refused);
+        answer(request, refused);
       } else {
         poll(request, invocation, preferences.waitMillis());
       }
@@ -414,7 +419,7 @@
     Consumer<Result> waiter =
         result -> {
           vertx.cancelTimer(timer[0]);
-          answer(response, result);
+          answer(request, result);
         };
     if (waitMillis > 0 && invocation.result() == null) {
       timer[0] =
@@ -447,15 +452,13 @@
   }
 
   /** Answers with a result, unless the client is gone or has been answered. */
-  private static void answer(HttpServerResponse response, Result result) {
+  private void answer(HttpServerRequest request, Result result) {
+    HttpServerResponse response = request.response();
     if (response.closed() || response.ended()) {
       return;
     }
     if (result instanceof Result.Served served) {
-      response
-          .setStatusCode(200)
-          .putHeader("Content-Type", "application/octet-stream")
-          .end(served.body());
+      answerServed(request, served.body());
     } else if (result instanceof Result.Refused refused) {
       new Problem(
               refused.overloaded() ? 429 : 503,
@@ -475,4 +478,26 @@
       new Problem(410, "the invocation was given up").write(response);
     }
   }
+
+  /** Answers with the worker's bytes, if there is room for them until the client has read them. */
+  private void answerServed(HttpServerRequest request, Buffer body) {
+    HttpServerResponse response = request.response();
+    int bytes = body.length();
+    if (answerBudget.hasRoomFor(bytes)) {
+      answerBudget.charge(bytes);
+      response
+          .setStatusCode(200)
+          .putHeader("Content-Type", "application/octet-stream")
+          .end(body)
+          .onComplete(v -> answerBudget.release(bytes));
+      return;
+    }
+    counters.add(Count.ANSWERS_DROPPED);
+    if (request.method().equals(HttpMethod.GET)) {
+      // The result is kept, and can be asked for again.
+      new Problem(503, "no room for the answer now", ANSWER_RETRY_MILLIS).write(response);
+    } else {
+      new Problem(502, "no room for its answer; it has run").write(response);
+    }
+  }
 }
--- a/src/main/java/umberrun/front/rpc/RpcServer.java
+++ b/src/main/java/umberrun/front/rpc/RpcServer.java
@@ -13,6 +13,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Function;
+import umberrun.admission.AnswerBudget;
 import umberrun.admission.ConnectionLimits;
 import umberrun.admission.ConnectionLimits.Purpose;
 import umberrun.config.Config.SettingNames;
@@ -48,7 +49,7 @@
   private final Lifecycle lifecycle;
   private final Clock clock;
   private final ConnectionLimits connectionLimits;
-  private final long maxQueuedBytes;
+  private final AnswerBudget answerBudget;
 
   /** Bytes of answers that wait to be sent to clients. */
   private long queuedBytes;
@@ -67,8 +68,7 @@
   /**
    * Creates the server.
    *
-   * @param maxQueuedBytes limit for answers that wait to be sent, for all processes of this front
-   *     end
+   * @param answerBudget limits the answers that wait to be sent
    */
   public RpcServer(
       Vertx vertx,
@@ -78,8 +78,8 @@
       Lifecycle lifecycle,
       Clock clock,
       ConnectionLimits connectionLimits,
-      long maxQueuedBytes) {
-    this.maxQueuedBytes = maxQueuedBytes;
+      AnswerBudget answerBudget) {
+    this.answerBudget = answerBudget;
     this.vertx = vertx;
     this.lifecycle = lifecycle;
     this.clock = clock;
@@ -137,17 +137,15 @@
     }
   }
 
-  /**
-   * Whether an answer of so many bytes may be queued; bounds the memory used for clients that read
-   * slowly. All processes of this front end share the limit.
-   */
+  /** Whether an answer of so many bytes may be queued. */
   boolean hasRoomFor(int bytes) {
-    return queuedBytes + bytes <= maxQueuedBytes / connectionLimits.processes();
+    return answerBudget.hasRoomFor(bytes);
   }
 
   /** Changes the number of queued bytes; negative when bytes were sent. */
   void addQueuedBytes(int bytes) {
     queuedBytes += bytes;
+    answerBudget.charge(bytes);
     checkQuiet();
   }
 
--- a/src/test/java/umberrun/InvokeScenariosTest.java
+++ b/src/test/java/umberrun/InvokeScenariosTest.java
@@ -203,6 +203,21 @@
     }
   }
 
+  /** Guards against memory that grows with answers that a client asks for and does not read. */
+  @Test
+  public void answersThatNobodyReadsAreLimited() throws Exception {
+    try (Scenario s = Scenario.of("w1")) {
+      s.worker("w1").answerBody = "x".repeat(900_000);
+      s.worker("w1").answersAll = true;
+      s.play(
+          "h1 " + LOOKUP + ASYNC + "\nh1 expect 202\nh2 send GET @ Prefer:wait=9\nh2 expect 200");
+      String get = "GET " + s.location() + " HTTP/1.1|Host: x||";
+      s.play("r1 send " + get.repeat(12));
+      s.await(Count.ANSWERS_DROPPED, 0);
+      s.play("h3 send GET /v1/health\nh3 expect 200");
+    }
+  }
+
   /**
    * While Consul is unreachable, its last list expires just as the change log's does, since a
    * worker may have become critical meanwhile.
--- a/src/test/java/umberrun/Scenario.java
+++ b/src/test/java/umberrun/Scenario.java
@@ -566,6 +566,11 @@
     }
   }
 
+  /** The Location header of the last answer that had one. */
+  String location() {
+    return location;
+  }
+
   /** Starts another worker and adds it to the change log. */
   void addWorker(String name) throws Exception {
     workers.put(name, new Worker(name));
