Times that one process leaves for another hold when the system time is stepped

Operators would see: after a step of the system time between two processes a worker that came back counts as warm, or as cold for the length of the step (its budget then is wrong: the rule on cold workers), and what the old process had learned is thrown away or believed when it is old. Cause: state.json held times of the writer's clock, which starts from the system time of its process; the age of facts.json was the system time less the file's own. Measured: on the commit before aStepOfTheSystemTimeBetweenTwoProcessesMovesNoTime fails (resumed - us ago); it passes now.

--- a/src/main/java/umberrun/core/Clock.java
+++ b/src/main/java/umberrun/core/Clock.java
@@ -20,7 +20,7 @@
   /**
    * @param origin the Unix microsecond that the clock shows now
    */
-  Clock(long origin) {
+  public Clock(long origin) {
     this.origin = origin;
   }
 
--- a/src/main/java/umberrun/handover/Handover.java
+++ b/src/main/java/umberrun/handover/Handover.java
@@ -389,7 +389,7 @@
               if (allApplied) {
                 return Future.succeededFuture();
               }
-              if (System.currentTimeMillis() * 1_000 > deadline) {
+              if (clock.now() > deadline) {
                 log.accept("handover: the other process has not yet applied change " + seq);
                 return Future.succeededFuture();
               }
--- a/src/main/java/umberrun/handover/HandoverStore.java
+++ b/src/main/java/umberrun/handover/HandoverStore.java
@@ -207,6 +207,7 @@
       JsonObject json = new JsonObject();
       json.addProperty("v", FORMAT_VERSION);
       json.addProperty("seq", next.seq);
+      json.addProperty(CLOCK_ORIGIN, clock.toMachineTime(0));
       json.add("suspended", toJson(next.suspended));
       json.add("resumed", toJson(next.resumed));
       replace(STATE, json);
@@ -266,7 +267,7 @@
 
   /** Writes this process's facts for a process that is starting. */
   void writeFacts(String page) throws IOException {
-    replace(FACTS, page);
+    replace(FACTS, clock.toMachineTime(clock.now()) + "\n" + page);
   }
 
   /** Reads the facts written by another process; null if there are none. */
--- a/src/test/java/umberrun/handover/HandoverStoreTest.java
+++ b/src/test/java/umberrun/handover/HandoverStoreTest.java
@@ -7,6 +7,7 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.attribute.FileTime;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -14,6 +15,7 @@
 import java.util.concurrent.Callable;
 import java.util.concurrent.CyclicBarrier;
 import java.util.concurrent.FutureTask;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.junit.Before;
 import org.junit.Rule;
@@ -156,6 +158,46 @@
     }
   }
 
+  /** Guards against times that are wrong in a successor since the system time was stepped. */
+  @Test
+  public void aStepOfTheSystemTimeBetweenTwoProcessesMovesNoTime() throws Exception {
+    long hour = TimeUnit.HOURS.toMicros(1);
+    for (long step : List.of(-hour, hour)) {
+      Clock stepped = new Clock(clock.now() + step);
+      HandoverStore before = store("before");
+      HandoverStore after = new HandoverStore(shared, "after", stepped, logged::add);
+      before.update(state -> Handover.changed(state, "s-1", true, clock.now()));
+      before.update(state -> Handover.changed(state, "s-1", false, clock.now()));
+      long age = stepped.now() - after.read().resumed().get("s-1");
+      assertTrue("resumed " + age + " us ago", age >= 0 && age < hour / 2);
+      after.update(state -> Handover.changed(state, "s-2", true, stepped.now()));
+      age = clock.now() - before.read().suspended().get("s-2");
+      assertTrue("suspended " + age + " us ago", age >= 0 && age < hour / 2);
+      before.writeFacts("{}");
+      // As the system time says after the step.
+      Files.setLastModifiedTime(
+          shared.resolve("facts.json"),
+          FileTime.fromMillis(System.currentTimeMillis() - TimeUnit.HOURS.toMillis(1)));
+      assertEquals("{}", after.readFacts().page());
+      assertTrue(after.readFacts().ageMicros() < hour / 2);
+      before.close();
+      after.close();
+      Files.delete(shared.resolve("state.json"));
+    }
+  }
+
+  /** A file of a version that knew only the system time is still understood. */
+  @Test
+  public void filesOfAnEarlierVersionAreRead() throws Exception {
+    HandoverStore store = store("a");
+    Files.writeString(
+        shared.resolve("state.json"),
+        "{\"v\":1,\"seq\":3,\"suspended\":{\"s-1\":50},\"resumed\":{\"s-2\":60}}");
+    assertEquals(new SuspensionState(3, Map.of("s-1", 50L), Map.of("s-2", 60L)), store.read());
+    Files.writeString(shared.resolve("facts.json"), "{}");
+    assertEquals("{}", store.readFacts().page());
+  }
+
   /** Processes that ended or were killed are not listed, and their files are removed. */
   @Test
   public void onlyLiveProcessesAreListed() throws Exception {
