Three processes of a front end share its limits by three

Clients would see refused connections and the platform a process over its limits where two replacements follow each other: while three processes lived, each held half of the shares and of the budget for answers, 1.5 times what is allowed. Cause: the handover told only that another process lives, not how many. Change: the live processes are counted. Measured: on the commit before allLiveProcessesShareTheLimits fails, expected:<3> but was:<2>; it passes now.

--- a/src/main/java/umberrun/Server.java
+++ b/src/main/java/umberrun/Server.java
@@ -576,7 +576,7 @@
    * @param others the live processes beside this one
    */
   private void onLiveProcesses(Set<String> others) {
-    connectionLimits.shareAmong(others.isEmpty() ? 1 : 2);
+    connectionLimits.shareAmong(1 + others.size());
     if (fleet != null) {
       fleet.setAccompanied(!others.isEmpty());
     }
--- a/src/test/java/umberrun/OpsScenariosTest.java
+++ b/src/test/java/umberrun/OpsScenariosTest.java
@@ -367,6 +367,16 @@
     }
   }
 
+  /** Guards against limits that are exceeded by the third of three processes. */
+  @Test
+  public void allLiveProcessesShareTheLimits() throws Exception {
+    try (Scenario s = daily("w1")) {
+      s.startSuccessor();
+      s.startSuccessor();
+      assertEquals(3, s.server.connectionLimits().processes());
+    }
+  }
+
   /** A torn state file counts as empty, and the process starts. */
   @Test
   public void aTornStateFileIsIgnored() throws Exception {
