Times from before a restart of the machine are not taken for times ahead

Change: a suspension or an end that would lie ahead counts as now; facts from ahead are not used; leases were refused already.

--- a/src/main/java/umberrun/core/InvocationRegistry.java
+++ b/src/main/java/umberrun/core/InvocationRegistry.java
@@ -423,7 +423,9 @@
         invocation.call.setClientWaiting(true);
       }
     } else if (entry instanceof Ended ended) {
-      complete(invocation, ended.result(), clock.fromMachineTime(ended.endedAt()));
+      // After a restart of the machine its clock begins anew.
+      long endedAt = Math.min(clock.now(), clock.fromMachineTime(ended.endedAt()));
+      complete(invocation, ended.result(), endedAt);
     } else if (invocation.result() != null) {
       held.discard(invocation);
     }
--- a/src/main/java/umberrun/handover/HandoverStore.java
+++ b/src/main/java/umberrun/handover/HandoverStore.java
@@ -167,9 +167,13 @@
     }
   }
 
-  /** Times of another process's clock as times of this process's clock. */
-  private static Map<String, Long> shifted(Map<String, Long> times, long difference) {
-    times.replaceAll((worker, time) -> time + difference);
+  /**
+   * Times of another process's clock as times of this process's clock. None lies ahead: after a
+   * restart of the machine its clock begins anew, and such a time counts as now.
+   */
+  private Map<String, Long> shifted(Map<String, Long> times, long difference) {
+    long now = clock.now();
+    times.replaceAll((worker, time) -> Math.min(now, time + difference));
     return times;
   }
 
@@ -284,7 +288,9 @@
         return new HandedOverFacts(timeAndPage[0], 1_000 * Math.max(0, ageMillis));
       }
       long writtenAt = clock.fromMachineTime(Long.parseLong(timeAndPage[0]));
-      return new HandedOverFacts(timeAndPage[1], Math.max(0, clock.now() - writtenAt));
+      long age = clock.now() - writtenAt;
+      // Written before the machine was restarted.
+      return age < 0 ? null : new HandedOverFacts(timeAndPage[1], age);
     } catch (IOException | NumberFormatException e) {
       log.accept("handover: " + e);
       return null;
--- a/src/test/java/umberrun/handover/HandoverStoreTest.java
+++ b/src/test/java/umberrun/handover/HandoverStoreTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.Assert.assertEquals;
 import static org.junit.Assert.assertFalse;
+import static org.junit.Assert.assertNull;
 import static org.junit.Assert.assertTrue;
 
 import java.io.IOException;
@@ -186,6 +187,23 @@
     }
   }
 
+  /** Guards against a worker that counts as cold for days since the machine was restarted. */
+  @Test
+  public void timesFromBeforeARestartOfTheMachineAreNotAhead() throws Exception {
+    HandoverStore store = store("a");
+    store.update(state -> Handover.changed(state, "s-1", true, clock.now()));
+    store.writeFacts("{}");
+    long day = TimeUnit.DAYS.toMicros(1);
+    String state = Files.readString(shared.resolve("state.json"));
+    long origin = clock.toMachineTime(0);
+    Files.writeString(
+        shared.resolve("state.json"), state.replace("" + origin, "" + (origin + day)));
+    Files.writeString(
+        shared.resolve("facts.json"), clock.toMachineTime(clock.now() + day) + "\n{}");
+    assertTrue(store.read().suspended().get("s-1") <= clock.now());
+    assertNull(store.readFacts());
+  }
+
   /** A file of a version that knew only the system time is still understood. */
   @Test
   public void filesOfAnEarlierVersionAreRead() throws Exception {
