--- a/src/main/java/umberrun/core/Invocation.java
+++ b/src/main/java/umberrun/core/Invocation.java
@@ -169,9 +169,9 @@
     return true;
   }
 
-  /** Whether a request with the same key is a retry of this one, rather than a different call. */
-  boolean isSameCall(Request other) {
-    return fingerprint.equals(CallFingerprint.of(other));
+  /** Whether another one with the same key is a retry of this one, rather than a different call. */
+  boolean isSameCall(Invocation other) {
+    return fingerprint.equals(other.fingerprint);
   }
 
   /** The size of the result's body in bytes. */
--- a/src/main/java/umberrun/core/InvocationRegistry.java
+++ b/src/main/java/umberrun/core/InvocationRegistry.java
@@ -129,7 +129,7 @@
     }
     try {
       Invocation existing = scopedKey == null ? null : held.findByKey(scopedKey);
-      return existing == null ? accept(invocation) : join(existing, request, deferred);
+      return existing == null ? accept(invocation) : join(existing, invocation);
     } finally {
       journal.unlock();
     }
@@ -141,16 +141,16 @@
     return invocation;
   }
 
-  private Invocation join(Invocation existing, Request request, boolean deferred) throws KeyReused {
-    if (!existing.isSameCall(request)) {
+  private Invocation join(Invocation existing, Invocation repeat) throws KeyReused {
+    if (!existing.isSameCall(repeat)) {
       throw new KeyReused();
     }
     counters.add(Count.DEFERRED_JOINED);
-    existing.collectable |= deferred;
+    existing.collectable |= repeat.deferred;
     if (existing.call != null) {
       existing.call.setClientWaiting(true);
     }
-    write(new Joined(existing.id(), deferred));
+    write(new Joined(existing.id(), repeat.deferred));
     return existing;
   }
 
