--- a/review/6/Case6.java
+++ b/review/6/Case6.java
@@ -34,6 +34,7 @@
   private static final int BUDGET_MILLIS = 4_000;
   private static final int LONG_ANSWER = 230_000;
   private static final AtomicLong LAST_RID = new AtomicLong(0x100000000L);
+  private static final AtomicLong RUNS = new AtomicLong();
   private static final AtomicLong ASKED = new AtomicLong();
   private static final AtomicInteger CRASHED_OPEN = new AtomicInteger();
   private static final AtomicBoolean END = new AtomicBoolean();
@@ -63,6 +64,7 @@
       Rig.Worker worker = rig.new Worker(String.format("s-000000%02x", i));
       worker.behaviour =
           call -> {
+            RUNS.incrementAndGet();
             if (!call.fields.get("asset").startsWith("7f3a9c21e0b4d6")) {
               // To what they can't use, hosts answer 'error'.
               call.answer("500", "-", Rig.bytes(""));
@@ -109,7 +111,9 @@
               + "; calls for unknown ids "
               + unknown
               + "; calls in bursts "
-              + bursts);
+              + bursts
+              + "; runs at hosts "
+              + RUNS.getAndSet(0));
       usual.clear();
       unknown.clear();
       bursts.clear();
@@ -167,11 +171,17 @@
               ASKED.incrementAndGet();
               function = String.format("%016x", random.nextLong() >>> 4);
             }
-            answers.add(
-                client.call(
-                    "date-lookup",
-                    fields(function, unknownIds ? 60 : BUDGET_MILLIS),
-                    new byte[bodyBytes]));
+            Map<String, String> fields = fields(function, unknownIds ? 60 : BUDGET_MILLIS);
+            CompletableFuture<Rig.Answer> sent =
+                client.call("date-lookup", fields, new byte[bodyBytes]);
+            answers.add(sent);
+            // The others are too many for a line each; their outcomes are counted.
+            if (isUsual) {
+              String rid = fields.get("rid");
+              rig.detail("sent  " + rid + " by a usual client");
+              sent.whenComplete(
+                  (a, e) -> rig.detail("answer to " + rid + ": " + (a == null ? "none, " + e : a)));
+            }
           }
           for (CompletableFuture<Rig.Answer> answer : answers) {
             String outcome = Rig.outcome(answer, BUDGET_MILLIS + 1_000);
--- a/review/rig-2/Rig.java
+++ b/review/rig-2/Rig.java
@@ -82,14 +82,14 @@
   static void main(String folder, Case played) throws Exception {
     int status = 2;
     Rig rig = new Rig(Path.of(folder));
-    Runtime.getRuntime().addShutdownHook(new Thread(rig::endProcesses));
+    Runtime.getRuntime().addShutdownHook(new Thread(rig::close));
     Thread watchdog =
         daemon(
             () -> {
               try {
                 Thread.sleep(MAX_SECONDS * 1_000L);
                 rig.note("the case took longer than " + MAX_SECONDS + " s");
-                rig.endProcesses();
+                rig.close();
                 Runtime.getRuntime().halt(2);
               } catch (InterruptedException e) {
                 // not reached
@@ -172,8 +172,8 @@
     }
     try (var files = Files.walk(temporary)) {
       files.sorted(Comparator.reverseOrder()).forEach(f -> f.toFile().delete());
-    } catch (IOException e) {
-      // left to the system
+    } catch (IOException | java.io.UncheckedIOException e) {
+      // it is gone already, or left to the system
     }
     record.flush();
   }
