The dispatcher remembers a bounded number of functions, usual ones before new ones

Cause: the module kept a Function, its home order and its copies for each id that was ever named, also for refused calls, and forgot one in a tick of 50 ms, only after 60 s without calls. Copies that peers reported for unknown functions were never removed; nor were those of a function forgotten under an open attempt. The work of a tick grew with all of them. Change: FunctionTable. Functions with an open call or attempt stay (at most the 4,096 calls in flight); of the others 512 that were never served, 2,048 that were, 2,048 that were called again a second or more later. Each standing displaces its own least recently used, so new ids displace new ids. A function takes its copies along. Idle ones go at 1 + size / 512 a tick. Peers are told of the most called functions first, 4,096 observations at most. A counter functions_remembered shows the level. Excluded: names and rids (bounded before), direct memory, answers waiting for slow clients: resident memory rose only in the heap and with the ids.

--- a/src/main/java/saddlestall/AdaptiveDispatcher.java
+++ b/src/main/java/saddlestall/AdaptiveDispatcher.java
@@ -301,11 +301,7 @@
     } else if (event instanceof Observation e) {
       applyObservation(e, now);
     } else if (event instanceof CopyRequested e) {
-      Worker worker = workers.get(e.worker());
-      Function function = functions.get(e.function());
-      if (worker != null && function != null && !isCold(worker) && mayPreload(worker)) {
-        sendPreload(worker, function, function.loadTime * loadTimeRatio);
-      }
+      onCopyRequested(e);
     } else if (event instanceof LeasesExpiring e) {
       onExpiring(e);
     } else if (event instanceof FleetSizeUpdate e) {
@@ -321,7 +317,7 @@
       emit(new Refuse(arrival.id(), 0));
       return;
     }
-    Function function = functions.computeIfAbsent(arrival.function(), Function::new);
+    Function function = functions.acquireForCall(arrival.function(), now);
     PendingCall call =
         new PendingCall(arrival, settings.classes().get(arrival.callClass()), function, now);
     function.recentCalls = recentCalls(function) + 1;
@@ -358,6 +354,7 @@
     attempt.copy.inFlight--;
     loadsInFlight -= attempt.startsLoad && loadsInFlight > 0 ? 1 : 0;
     recordOutcome(worker, attempt, outcome);
+    functions.release(attempt.call.function);
     if (call == null) {
       return;
     }
@@ -372,6 +369,18 @@
     }
   }
 
+  private void onCopyRequested(CopyRequested request) {
+    Worker worker = workers.get(request.worker());
+    Function function = functions.get(request.function());
+    if (worker != null
+        && function != null
+        && function.wasCalled()
+        && !isCold(worker)
+        && mayPreload(worker)) {
+      sendPreload(worker, function, function.loadTime * loadTimeRatio);
+    }
+  }
+
   private void onTimerFired(long token) {
     if (token == TICK_TOKEN) {
       tick();
@@ -477,7 +486,7 @@
     updateHealth();
     updateShedding();
     retryHeld();
-    forgetOldestFunction(now - FUNCTION_RETENTION_MICROS);
+    functions.forgetIdle(now - FUNCTION_RETENTION_MICROS);
   }
 
   /** Estimates the call rate of the whole fleet and adapts the mix window. */
@@ -508,7 +517,7 @@
     for (Worker worker : readyWorkers) {
       worker.plannedLoad = 0;
     }
-    for (Function function : functions.values()) {
+    for (Function function : functions.all()) {
       int homes = homeCount(function);
       double loadPerHome =
           demand(function) * usualDuration(function, function.callClass) / SECOND / homes;
@@ -917,6 +926,7 @@
       worker.coldBudget--;
     }
     copy.inFlight++;
+    functions.acquire(function);
     expiringWorkers.remove(worker);
     worker.attempts.put(attemptKey(call.event.id(), call.attemptsSent), attempt);
     call.attemptsSent++;
@@ -985,10 +995,11 @@
   }
 
   private void close(PendingCall call) {
-    if (call != null) {
+    if (call != null && !call.closed) {
       pendingCalls.remove(call.event.id());
       heldCalls.remove(call);
       call.closed = true;
+      functions.release(call.function);
     }
   }
 
@@ -1111,7 +1122,10 @@
     Function best = null;
     boolean bestLoaded = false;
     double mostCalls = 0;
-    for (Function function : functions.values()) {
+    for (Function function : functions.all()) {
+      if (!function.wasCalled()) {
+        continue;
+      }
       boolean loaded = loadedProbability(function, worker) >= 0.5;
       double calls = recentCalls(function);
       if (loaded && !bestLoaded
@@ -1236,7 +1250,10 @@
             && outcome.copyStatus() != CopyStatus.LOAD_FAILED
             && function.lastServedAt > 0;
     boolean failed = disconnected || outcome.code() == OutcomeCode.TIMEOUT || error;
-    function.lastServedAt = outcome.code() == OutcomeCode.OK ? now : function.lastServedAt;
+    if (outcome.code() == OutcomeCode.OK) {
+      function.lastServedAt = now;
+      functions.onServed(function);
+    }
     if (failed) {
       // All attempts that fail with one lost connection count once.
       worker.failureRate +=
--- a/src/main/java/saddlestall/Dispatcher.java
+++ b/src/main/java/saddlestall/Dispatcher.java
@@ -19,6 +19,12 @@
   /** Passes on what this front end has observed itself, for its peers. */
   void exportObservations(long now, Consumer<Observation> observations);
 
+  /** Whether a function is remembered, so that actions may still name it. */
+  boolean remembers(long function);
+
+  /** How many functions are remembered. */
+  int functionCount();
+
   // ---------------------------------------------------------------- settings
 
   /**
--- a/src/main/java/saddlestall/DispatcherState.java
+++ b/src/main/java/saddlestall/DispatcherState.java
@@ -4,7 +4,7 @@
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.Iterator;
+import java.util.Comparator;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -37,10 +37,12 @@
    */
   private static final long PEER_REPORT_TRIAL_WAIT_MICROS = 5_000_000;
 
+  /** Observations of functions and copies that are passed on to peers at once. */
+  private static final int MAX_EXPORTED_OBSERVATIONS = 4_096;
+
   final Map<Integer, Worker> workers = new LinkedHashMap<>();
 
-  /** Known functions, the least recently used first. */
-  final Map<Long, Function> functions = new LinkedHashMap<>(64, 0.75f, true);
+  final FunctionTable functions = new FunctionTable(this::dropCopies);
 
   /** Calls without a final answer, by call id. */
   final Map<Integer, PendingCall> pendingCalls = new LinkedHashMap<>();
@@ -224,47 +226,67 @@
     return Math.floorMod(worker.hall, MAX_HALLS);
   }
 
-  /** Drops the least recently used function if its last call was before {@code cutoff}. */
-  void forgetOldestFunction(long cutoff) {
-    Iterator<Function> eldest = functions.values().iterator();
-    Function function = eldest.hasNext() ? eldest.next() : null;
-    if (function != null && function.lastCallAt < cutoff) {
-      eldest.remove();
-      for (Worker worker : workers.values()) {
-        worker.copies.computeIfPresent(function.id, (id, copy) -> copy.inFlight > 0 ? copy : null);
-      }
+  /** Whether a function is remembered, so that actions may still name it. */
+  public boolean remembers(long function) {
+    return functions.contains(function);
+  }
+
+  /** How many functions are remembered. */
+  public int functionCount() {
+    return functions.size();
+  }
+
+  /** Drops what is known of the copies of a function that is forgotten. */
+  private void dropCopies(Function function) {
+    for (Worker worker : workers.values()) {
+      worker.copies.remove(function.id);
     }
   }
 
   /**
-   * Passes on what this front end observed itself, for its peers. Copies that only peers have
+   * Passes on what this front end observed itself, for its peers: the workers, then the functions
+   * with their copies, the most called first and within a limit. Copies that only peers have
    * reported are left out, since the peers pass them on themselves.
    */
   public void exportObservations(long now, Consumer<Observation> facts) {
+    List<Worker> ready = new ArrayList<>();
     for (Worker worker : workers.values()) {
       if (worker.state == WorkerState.READY) {
+        ready.add(worker);
         facts.accept(
             new WorkerObservation(worker.id, worker.latencyRatio, worker.failureRate, 0, 1));
-        worker.copies.forEach(
-            (functionId, copy) -> {
-              if (copy.seenLoadedAt > 0 && copy.confidence == 1) {
-                facts.accept(
-                    new CopyObservation(worker.id, functionId, now - copy.seenLoadedAt, 1));
-              }
-            });
       }
     }
-    for (Function function : functions.values()) {
-      if (function.lastServedAt > 0) {
-        facts.accept(
-            new FunctionObservation(
-                function.id,
-                function.callClass,
-                function.lanes,
-                (long) function.loadTime,
-                function.recentCalls,
-                now - function.lastCallAt,
-                1));
+    List<Function> mostCalledFirst = new ArrayList<>(functions.all());
+    mostCalledFirst.sort(Comparator.comparingDouble(f -> -f.recentCalls));
+    List<Observation> observations = new ArrayList<>();
+    for (Function function : mostCalledFirst) {
+      addObservations(function, ready, now, observations);
+      if (observations.size() >= MAX_EXPORTED_OBSERVATIONS) {
+        break;
+      }
+    }
+    observations.forEach(facts);
+  }
+
+  /** Adds what was observed of a function and of its copies. */
+  private static void addObservations(
+      Function function, List<Worker> ready, long now, List<Observation> observations) {
+    if (function.lastServedAt > 0) {
+      observations.add(
+          new FunctionObservation(
+              function.id,
+              function.callClass,
+              function.lanes,
+              (long) function.loadTime,
+              function.recentCalls,
+              now - function.lastCallAt,
+              1));
+    }
+    for (Worker worker : ready) {
+      Copy copy = worker.copies.get(function.id);
+      if (copy != null && copy.seenLoadedAt > 0 && copy.confidence == 1) {
+        observations.add(new CopyObservation(worker.id, function.id, now - copy.seenLoadedAt, 1));
       }
     }
   }
@@ -280,7 +302,8 @@
       if (worker != null
           && worker.state == WorkerState.READY
           && now - seen.age() > worker.startedAt) {
-        Copy copy = worker.copies.computeIfAbsent(seen.function(), id -> new Copy());
+        Function function = functions.getReported(seen.function(), now);
+        Copy copy = worker.copies.computeIfAbsent(function.id, id -> new Copy());
         if (copy.seenLoadedAt == 0 && copy.inFlight == 0 && copy.expectedReadyAt == 0) {
           copy.seenLoadedAt = now - seen.age();
           copy.confidence = clamp(seen.weight(), 0, 0.99);
@@ -327,8 +350,8 @@
     } else if (observation instanceof FunctionObservation seen
         && seen.callClass() >= 0
         && seen.callClass() < classDuration.length) {
-      Function function = functions.computeIfAbsent(seen.function(), Function::new);
-      if (function.lastCallAt == 0) {
+      Function function = functions.getReported(seen.function(), now);
+      if (!function.wasCalled()) {
         function.callClass = seen.callClass();
         function.lanes = clamp(seen.lanes(), 1, 64);
         function.loadTime = Math.max(0, seen.loadTime());
@@ -347,22 +370,6 @@
     }
   }
 
-  /** An exponential running mean that starts as a plain mean. */
-  static final class RunningMean {
-    double value;
-    int count;
-
-    RunningMean(double start) {
-      value = start;
-    }
-
-    /** Adds a sample with step 1 / (count + 1), or {@code minStep} if that is larger. */
-    void add(double sample, double minStep) {
-      count = Math.min(count + 1, 1 << 20);
-      value += Math.max(minStep, 1.0 / (count + 1)) * (sample - value);
-    }
-  }
-
   /** What is known of one function's copy at one worker. */
   static final class Copy {
     /** When the copy was last known to be loaded; 0 if never. */
@@ -384,40 +391,6 @@
     long concurrencyReportedAt;
   }
 
-  /** A function, as described by its calls. */
-  static final class Function {
-    final long id;
-
-    /** Latency of its warm calls. */
-    final RunningMean duration = new RunningMean(0);
-
-    /** Calls that one copy runs concurrently. */
-    double lanes = 1;
-
-    /** Load time in microseconds; 0 if not given. */
-    double loadTime;
-
-    /** Class of its latest call. */
-    int callClass;
-
-    /** When a call of it was last served, here or as a peer reported; 0 if never. */
-    long lastServedAt;
-
-    /** Own calls, on top of those that a peer reported before, decayed to {@code lastCallAt}. */
-    double recentCalls;
-
-    long lastCallAt;
-
-    /** Each ready worker's position in the home order, for the list of {@code homeRankVersion}. */
-    int[] homeRanks = {};
-
-    int homeRankVersion = -1;
-
-    Function(long id) {
-      this.id = id;
-    }
-  }
-
   /** A worker, as known from the worker list, its reports and its outcomes. */
   static final class Worker {
     final int id;
--- a/src/main/java/umberrun/core/DispatchLoop.java
+++ b/src/main/java/umberrun/core/DispatchLoop.java
@@ -267,6 +267,7 @@
   private void dispatch(Event event) {
     try {
       dispatcher.handle(clock.now(), event, actions::add);
+      counters.set(Count.FUNCTIONS_REMEMBERED, dispatcher.functionCount());
     } finally {
       execute();
     }
--- a/src/main/java/umberrun/stats/Counters.java
+++ b/src/main/java/umberrun/stats/Counters.java
@@ -154,7 +154,9 @@
     /** A level: request bodies of these invocations, in bytes. */
     INVOCATION_BODY_BYTES,
     /** A level: what completed invocations are charged for results, keys and the rest, in bytes. */
-    INVOCATION_RESULT_BYTES;
+    INVOCATION_RESULT_BYTES,
+    /** A level: functions that the dispatcher remembers. */
+    FUNCTIONS_REMEMBERED;
 
     private final String printedName;
 
--- a/src/test/java/umberrun/stats/CounterNamesTest.java
+++ b/src/test/java/umberrun/stats/CounterNamesTest.java
@@ -90,7 +90,8 @@
           "invocations_orphaned",
           "invocations_held",
           "invocation_body_bytes",
-          "invocation_result_bytes");
+          "invocation_result_bytes",
+          "functions_remembered");
 
   @Test
   public void printedNamesAndTheirOrderAreFixed() {
