Names of functions in use are not pushed out by those of other callers

An order to load is written as clients write the function. After 16,384 other ids the name was lost and the order written in lower case, which names another function where clients use capitals. Cause: the last 16,384 names were kept, whoever had sent them. Change: FunctionNames keeps only names that differ from 16 digits in lower case, and when it is full it drops those that the dispatcher does not remember (there are fewer of the others than its capacity). Evidence: FunctionNamesTest fails with the least recently used name dropped, as before: the name in use is lost.

--- a/src/main/java/umberrun/core/DispatchLoop.java
+++ b/src/main/java/umberrun/core/DispatchLoop.java
@@ -83,10 +83,7 @@
   /** The same for the total size of their bodies. */
   private static final long MAX_BODY_BYTES_IN_FLIGHT = 12 << 20;
 
-  /**
-   * Names of functions that are kept to write preload requests with; the dispatcher forgets
-   * functions sooner.
-   */
+  /** Names of functions that are kept to write preload requests with. */
   private static final int MAX_FUNCTION_NAMES = 16_384;
 
   /** Prefix of the origin of facts that the health prober of a hall found. */
@@ -123,7 +120,7 @@
   private final WorkerSuspensions suspensions;
   private final DiscoveryMonitor discovery;
   private final FactTranslator factTranslator;
-  private final Map<Long, Buffer> functionNames = new BoundedMap<>(MAX_FUNCTION_NAMES, true);
+  private final FunctionNames functionNames;
 
   /** Attempts and preload requests in flight, by worker number. */
   private final Map<Integer, Integer> inFlight = new HashMap<>();
@@ -179,6 +176,7 @@
             new LeaseDirectory());
     this.transport = transportFactory.apply(this);
     this.dispatcher = dispatcherFactory.apply(actions::add);
+    this.functionNames = new FunctionNames(MAX_FUNCTION_NAMES, dispatcher::remembers);
     post(this::execute);
   }
 
@@ -294,9 +292,14 @@
       inFlight.merge(a.worker(), 1, Integer::sum);
       transport.preload(
           new PreloadRequest(
-              this, a.worker(), a.function(), functionName(a.function()), a.copies(), clock.now()));
+              this,
+              a.worker(),
+              a.function(),
+              functionNames.name(a.function()),
+              a.copies(),
+              clock.now()));
     } else if (action instanceof Unload a) {
-      transport.unload(a.worker(), functionName(a.function()));
+      transport.unload(a.worker(), functionNames.name(a.function()));
     } else if (action instanceof Cancel a) {
       cancel(calls.get(a.call()), a.attempt());
     } else if (action instanceof Probe a) {
@@ -369,7 +372,7 @@
       refuse(call, OVERLOAD_BACKOFF_MILLIS);
       return;
     }
-    functionNames.put(request.function(), request.functionBytes());
+    functionNames.record(request.function(), request.functionBytes());
     long remaining = call.deadline - clock.now();
     call.timers.add(
         vertx.setTimer(
@@ -590,12 +593,6 @@
     return names;
   }
 
-  /** The function as clients write it, or as 16 hex digits where that is no longer kept. */
-  private Buffer functionName(long function) {
-    Buffer name = functionNames.get(function);
-    return name != null ? name : Buffer.buffer(String.format("%016x", function));
-  }
-
   private void startTimer(StartTimer action) {
     // A token that is not negative is the id of a call.
     Call call = action.token() >= 0 ? calls.get((int) action.token()) : null;
