What a front end tells its peers outlives floods of ids, and their room comes back

After calls of many ids the store of 8,192 facts dropped the oldest quarter, usual functions among them, and pages began with the ids called last. 4,096 reported copies that no answer verified took the room of all later ones for good. Cause: facts were kept and ordered by age alone; unverified copies had no end. Reported copies give way once they are too old to be verified.

--- a/src/main/java/umberrun/core/DispatchLoop.java
+++ b/src/main/java/umberrun/core/DispatchLoop.java
@@ -833,6 +833,7 @@
     return supplyInTurn(
         () -> {
           long now = clock.now();
+          factTranslator.forgetOwn();
           dispatcher.exportObservations(
               now,
               observation ->
--- a/src/main/java/umberrun/core/FactTranslator.java
+++ b/src/main/java/umberrun/core/FactTranslator.java
@@ -1,9 +1,13 @@
 package umberrun.core;
 
-import java.util.HashMap;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Set;
 import java.util.UUID;
 import java.util.function.IntFunction;
@@ -47,12 +51,16 @@
   private record CopyKey(int worker, long function) {}
 
   private final String origin = UUID.randomUUID().toString().substring(0, 13);
-  private final FactStore factStore = new FactStore(MAX_FACTS);
+  private final FactStore factStore = new FactStore(MAX_FACTS, origin);
+
+  /** What the own dispatcher has observed last, in the order of its export. */
+  private final Set<Subject> ownSubjects = new LinkedHashSet<>();
+
   private final FactHalfLife halfLives;
   private final FactFilter filter;
 
   /** Copies that no response has confirmed or refuted yet, and when their fact was observed. */
-  private final Map<CopyKey, Long> unverifiedCopies = new HashMap<>();
+  private final Map<CopyKey, Long> unverifiedCopies = new LinkedHashMap<>();
 
   /**
    * Facts about workers that are not on this front end's list yet: the list may arrive after them.
@@ -83,6 +91,12 @@
     return origin;
   }
 
+  /** Forgets what the own dispatcher has observed, before it exports all of it again. */
+  void forgetOwn() {
+    factStore.forgetOwn();
+    ownSubjects.clear();
+  }
+
   /**
    * Stores an observation of the own dispatcher.
    *
@@ -92,6 +106,7 @@
     Fact fact = fact(observation, nameOf, now);
     if (fact != null) {
       factStore.merge(fact);
+      ownSubjects.add(fact.subject());
     }
   }
 
@@ -142,9 +157,18 @@
     return removed;
   }
 
-  /** All facts that are stored. */
+  /**
+   * All facts that are stored: first those about what the own dispatcher has observed, in the order
+   * of its export, then the others, the latest first.
+   */
   List<Fact> facts() {
-    return List.copyOf(factStore.all());
+    List<Fact> facts = new ArrayList<>();
+    ownSubjects.stream().map(factStore::get).filter(Objects::nonNull).forEach(facts::add);
+    factStore.all().stream()
+        .filter(fact -> !ownSubjects.contains(fact.subject()))
+        .sorted(Comparator.comparingLong(Fact::seenAt).reversed())
+        .forEach(facts::add);
+    return facts;
   }
 
   /**
@@ -166,9 +190,7 @@
     double weight = halfLives.weight(subject.kind(), age);
     return switch (subject.kind()) {
       case COPY -> {
-        if (unverifiedCopies.size() < MAX_UNVERIFIED_COPIES) {
-          unverifiedCopies.put(new CopyKey(worker, subject.function()), fact.seenAt());
-        }
+        addUnverified(new CopyKey(worker, subject.function()), fact.seenAt(), now);
         yield new CopyObservation(worker, subject.function(), age, weight);
       }
       case WORKER -> new WorkerObservation(worker, value.a(), value.b(), age, weight);
@@ -184,6 +206,17 @@
     };
   }
 
+  /** Remembers a reported copy until it is verified, or too old to be. */
+  private void addUnverified(CopyKey copy, long seenAt, long now) {
+    Iterator<Long> eldest = unverifiedCopies.values().iterator();
+    while (eldest.hasNext() && now - eldest.next() > MAX_AGE_MICROS) {
+      eldest.remove();
+    }
+    if (unverifiedCopies.size() < MAX_UNVERIFIED_COPIES) {
+      unverifiedCopies.put(copy, seenAt);
+    }
+  }
+
   /**
    * Checks a fact about a copy against what the response of its worker says of it, and records
    * whether the fact was right.
--- a/src/main/java/umberrun/learning/FactStore.java
+++ b/src/main/java/umberrun/learning/FactStore.java
@@ -14,15 +14,22 @@
  */
 public final class FactStore {
   private final int maxFacts;
+  private final String ownOrigin;
   private final Map<Subject, Fact> facts = new HashMap<>();
 
   /**
    * Creates an empty store.
    *
    * @param maxFacts maximum number of facts; when it is exceeded, the oldest ones are removed
+   * @param ownOrigin origin of the facts that are removed after those of all others
    */
-  public FactStore(int maxFacts) {
+  public FactStore(int maxFacts, String ownOrigin) {
     this.maxFacts = maxFacts;
+    this.ownOrigin = ownOrigin;
+  }
+
+  private boolean isOwn(Fact fact) {
+    return fact.origin().equals(ownOrigin);
   }
 
   /**
@@ -48,7 +55,7 @@
   /** Removes the oldest quarter at once, so that not every new fact costs a sort. */
   private void prune() {
     List<Fact> oldestFirst = new ArrayList<>(facts.values());
-    oldestFirst.sort(Comparator.comparingLong(Fact::seenAt));
+    oldestFirst.sort(Comparator.comparing(this::isOwn).thenComparingLong(Fact::seenAt));
     oldestFirst
         .subList(0, Math.max(1, oldestFirst.size() / 4))
         .forEach(f -> facts.remove(f.subject()));
@@ -59,6 +66,11 @@
     facts.values().removeIf(f -> f.seenAt() < earliest);
   }
 
+  /** Removes the facts that this front end observed itself. */
+  public void forgetOwn() {
+    facts.values().removeIf(this::isOwn);
+  }
+
   /** Returns the latest fact about a subject, or null if there is none. */
   public Fact get(Subject subject) {
     return facts.get(subject);
--- a/src/main/java/umberrun/learning/net/FactServer.java
+++ b/src/main/java/umberrun/learning/net/FactServer.java
@@ -7,7 +7,6 @@
 import io.vertx.core.http.HttpServerOptions;
 import io.vertx.core.http.HttpServerRequest;
 import io.vertx.core.net.SocketAddress;
-import java.util.Comparator;
 import java.util.List;
 import umberrun.admission.ConnectionLimits;
 import umberrun.admission.ConnectionLimits.Purpose;
@@ -144,7 +143,8 @@
   }
 
   /**
-   * Returns the facts, the latest first, so that a peer that gets only a part gets the best part.
+   * Returns the facts, the most useful first, so that a peer that gets only a part gets the best
+   * part.
    *
    * @param continues whether the request is for a page after the first
    */
@@ -157,8 +157,7 @@
         .facts()
         .map(
             facts -> {
-              snapshot =
-                  facts.stream().sorted(Comparator.comparingLong(Fact::seenAt).reversed()).toList();
+              snapshot = facts;
               snapshotAt = clock.now();
               return snapshot;
             });
--- a/src/test/java/umberrun/learning/FactStoreTest.java
+++ b/src/test/java/umberrun/learning/FactStoreTest.java
@@ -23,6 +23,7 @@
 /** Tests how facts merge and age, which of them are rejected, and how they are sent. */
 public class FactStoreTest {
   private static final long SECOND = 1_000_000;
+  private static final String OWN_ORIGIN = "self";
 
   private static Fact fact(Kind kind, String worker, long seenAt, String origin) {
     return new Fact(
@@ -48,7 +49,7 @@
   }
 
   private static Set<Fact> merged(List<Fact> facts) {
-    FactStore store = new FactStore(1_000);
+    FactStore store = new FactStore(1_000, OWN_ORIGIN);
     facts.forEach(store::merge);
     return new HashSet<>(store.all());
   }
@@ -72,7 +73,7 @@
 
   @Test
   public void theNumberOfFactsIsBoundedAndTheOldestAreRemoved() {
-    FactStore store = new FactStore(100);
+    FactStore store = new FactStore(100, OWN_ORIGIN);
     for (int i = 0; i < 10_000; i++) {
       store.merge(fact(Kind.COPY, "s" + i, i, "o"));
     }
