The end of a process answers those who wait there for a call of another process

Cause: endAll ended the invocations that the process runs. Requests that wait here for an invocation of another process have no call here: nothing ended them, the process counted as idle after 0.7 s, then waited for their connections until its last time limit, and ended. Excluded: the answer was not lost on the way (none was written), and the call went on at the new process (one run, 504 there in its time). Change: at that time the waiters of all invocations are answered, not the invocations: a synchronous repeat with 502 (it may have run), one that can collect the result with 202 and its location. The call goes on, its key stays bound, and its result is not overwritten. Waiters are a type now (ResultWaiter), and the responses have left InvokeServer. Evidence: whoWaitsForACallOfTheOtherProcessIsAnsweredAtTheEnd failed before (h2 got no 502 at the end).

--- a/src/main/java/umberrun/core/Invocation.java
+++ b/src/main/java/umberrun/core/Invocation.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import java.util.function.Consumer;
 
 /**
  * A call whose result may be fetched more than once: by its id, or by a retry with the same
@@ -38,7 +37,7 @@
   /** The request; null once the invocation is over, as its body may be long. */
   private Request request;
 
-  private final List<Consumer<Result>> waiters = new ArrayList<>(1);
+  private final List<ResultWaiter> waiters = new ArrayList<>(1);
   private Result result;
 
   /** The call that runs this invocation, or null before it starts and once it is over. */
@@ -134,19 +133,30 @@
   }
 
   /** Passes the result to {@code waiter} once it is there; at once if it is. */
-  public void await(Consumer<Result> waiter) {
+  public void await(ResultWaiter waiter) {
     if (result != null) {
-      waiter.accept(result);
+      waiter.onResult(result);
     } else {
       waiters.add(waiter);
     }
   }
 
   /** Removes a waiter that was added by {@link #await}. */
-  public void removeWaiter(Consumer<Result> waiter) {
+  public void removeWaiter(ResultWaiter waiter) {
     waiters.remove(waiter);
   }
 
+  /** Has those who wait be answered without the result, since this process is about to end. */
+  void dismissWaiters() {
+    removeWaiters().forEach(ResultWaiter::onProcessEnding);
+  }
+
+  private List<ResultWaiter> removeWaiters() {
+    List<ResultWaiter> removed = List.copyOf(waiters);
+    waiters.clear();
+    return removed;
+  }
+
   /** Whether a client waits for the result or may still fetch it. */
   boolean isAwaited() {
     return collectable || !waiters.isEmpty();
@@ -163,9 +173,7 @@
     result = value;
     request = null;
     call = null;
-    List<Consumer<Result>> notified = List.copyOf(waiters);
-    waiters.clear();
-    notified.forEach(w -> w.accept(value));
+    removeWaiters().forEach(waiter -> waiter.onResult(value));
     return true;
   }
 
--- a/src/main/java/umberrun/core/InvocationRegistry.java
+++ b/src/main/java/umberrun/core/InvocationRegistry.java
@@ -8,7 +8,6 @@
 import java.util.List;
 import java.util.Set;
 import java.util.UUID;
-import java.util.function.Consumer;
 import umberrun.core.InvocationEntry.Accepted;
 import umberrun.core.InvocationEntry.Deleted;
 import umberrun.core.InvocationEntry.Ended;
@@ -201,7 +200,7 @@
    * nobody can ask for it again. For one with a key nothing more is sent until a retry joins it,
    * and attempts in flight may finish.
    */
-  public void stopWaiting(Invocation invocation, Consumer<Result> waiter) {
+  public void stopWaiting(Invocation invocation, ResultWaiter waiter) {
     invocation.removeWaiter(waiter);
     if (invocation.isAwaited() || invocation.result() != null || !invocation.local) {
       return;
@@ -284,12 +283,14 @@
   }
 
   /**
-   * Ends all invocations of this process, which is about to end: those that wait never ran and are
-   * refused, the others fail.
+   * Has all who wait here be answered, since this process is about to end. Its own invocations end:
+   * those that are queued never ran and are refused, the others fail. Those of other processes go
+   * on, and whoever waits for them here is answered without their result.
    */
   public void endAll() {
     List.copyOf(queue).forEach(i -> finish(i, new Result.Refused(OVERLOAD_BACKOFF_MILLIS, false)));
     List.copyOf(running).forEach(i -> finish(i, new Result.Failed(false)));
+    List.copyOf(held.all()).forEach(Invocation::dismissWaiters);
   }
 
   /** Ends an invocation, unless it is over, and has the other processes know. */
--- a/src/main/java/umberrun/front/invoke/InvokeServer.java
+++ b/src/main/java/umberrun/front/invoke/InvokeServer.java
@@ -9,7 +9,6 @@
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerOptions;
 import io.vertx.core.http.HttpServerRequest;
-import io.vertx.core.http.HttpServerResponse;
 import io.vertx.core.net.SocketAddress;
 import java.security.SecureRandom;
 import java.util.LinkedHashMap;
@@ -18,7 +17,6 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Consumer;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import saddlestall.Dispatcher.CallClass;
@@ -58,7 +56,6 @@
   private static final long LINGER_MILLIS = 500;
 
   private static final long SHUTDOWN_RETRY_MILLIS = 1_000;
-  private static final long ANSWER_RETRY_MILLIS = 1_000;
   private static final long MAX_POLL_MILLIS = 30_000;
 
   private final Vertx vertx;
@@ -68,7 +65,7 @@
   private final Counters counters;
   private final SettingNames names;
   private final ConnectionLimits connectionLimits;
-  private final AnswerBudget answerBudget;
+  private final ResultResponder responder;
   private final SecureRandom random = new SecureRandom();
 
   /** Connections without a request so far, with their timeout timers, oldest first. */
@@ -89,7 +86,7 @@
       Clock clock,
       ConnectionLimits connectionLimits,
       AnswerBudget answerBudget) {
-    this.answerBudget = answerBudget;
+    this.responder = new ResultResponder(answerBudget, counters);
     this.vertx = vertx;
     this.lifecycle = lifecycle;
     this.clock = clock;
@@ -308,9 +305,9 @@
       Invocation invocation =
           invocations.submit(call, Integer.toString(call.tenant()), preferences.async());
       if (!preferences.async()) {
-        await(request, invocation, 0, null);
+        new PendingResponse(vertx, responder, request, invocation, false).start(invocations, 0);
       } else if (invocation.result() instanceof Result.Refused refused && refused.overloaded()) {
-        answer(request, refused);
+        responder.answer(request, refused);
       } else {
         poll(request, invocation, preferences.waitMillis());
       }
@@ -395,109 +392,10 @@
   private void poll(HttpServerRequest request, Invocation invocation, long waitMillis) {
     boolean collectsResult = request.method().equals(HttpMethod.GET);
     if (waitMillis <= 0 && (invocation.result() == null || !collectsResult)) {
-      answerAccepted(request.response(), invocation);
+      responder.answerAccepted(request, invocation);
     } else {
-      await(
-          request,
-          invocation,
-          Math.min(MAX_POLL_MILLIS, waitMillis),
-          () -> answerAccepted(request.response(), invocation));
-    }
-  }
-
-  /**
-   * Answers with the result of an invocation once it is available.
-   *
-   * @param waitMillis after this time {@code onTimeout} answers instead; 0 waits for the result
-   *     without a limit
-   * @param onTimeout may be null if there is no limit
-   */
-  private void await(
-      HttpServerRequest request, Invocation invocation, long waitMillis, Runnable onTimeout) {
-    HttpServerResponse response = request.response();
-    long[] timer = {-1};
-    Consumer<Result> waiter =
-        result -> {
-          vertx.cancelTimer(timer[0]);
-          answer(request, result);
-        };
-    if (waitMillis > 0 && invocation.result() == null) {
-      timer[0] =
-          vertx.setTimer(
-              waitMillis,
-              expired -> {
-                invocation.removeWaiter(waiter);
-                onTimeout.run();
-              });
-    }
-    response.closeHandler(
-        v -> {
-          if (!response.ended()) {
-            vertx.cancelTimer(timer[0]);
-            invocations.stopWaiting(invocation, waiter);
-          }
-        });
-    invocation.await(waiter);
-  }
-
-  /** Answers 202 with the location at which the result can be collected. */
-  private static void answerAccepted(HttpServerResponse response, Invocation invocation) {
-    if (!response.closed() && !response.ended()) {
-      response
-          .setStatusCode(202)
-          .putHeader("Location", "/v1/invocations/" + invocation.id())
-          .putHeader("Retry-After", "1")
-          .end();
-    }
-  }
-
-  /** Answers with a result, unless the client is gone or has been answered. */
-  private void answer(HttpServerRequest request, Result result) {
-    HttpServerResponse response = request.response();
-    if (response.closed() || response.ended()) {
-      return;
-    }
-    if (result instanceof Result.Served served) {
-      answerServed(request, served.body());
-    } else if (result instanceof Result.Refused refused) {
-      new Problem(
-              refused.overloaded() ? 429 : 503,
-              "not run; trying again does no harm",
-              refused.backoffMillis())
-          .write(response);
-    } else if (result instanceof Result.Failed failed) {
-      new Problem(
-              failed.timedOut() ? 504 : 502,
-              failed.timedOut()
-                  ? "no answer in time; it may have run"
-                  : "no worker served it; it may have run")
-          .write(response);
-    } else if (result instanceof Result.Dropped) {
-      new Problem(410, "it was served, and its result is no longer kept").write(response);
-    } else {
-      new Problem(410, "the invocation was given up").write(response);
-    }
-  }
-
-  /** Answers with the worker's bytes, if there is room for them until the client has read them. */
-  private void answerServed(HttpServerRequest request, Buffer body) {
-    HttpServerResponse response = request.response();
-    int bytes = body.length();
-    if (answerBudget.hasRoomFor(bytes)) {
-      answerBudget.charge(bytes);
-      response
-          .setStatusCode(200)
-          .putHeader("Content-Type", "application/octet-stream")
-          .end(body)
-          .onComplete(v -> answerBudget.release(bytes));
-      return;
-    }
-    counters.add(Count.ANSWERS_DROPPED);
-    if (request.method().equals(HttpMethod.GET)) {
-      // The result is kept, and can be asked for again.
-      new Problem(503, "no room for the answer now", ANSWER_RETRY_MILLIS).write(response);
-    } else {
-      new Problem(502, "no room for its answer; it has run").write(response);
+      new PendingResponse(vertx, responder, request, invocation, true)
+          .start(invocations, Math.min(MAX_POLL_MILLIS, waitMillis));
     }
   }
 }
--- a/src/test/java/umberrun/InvocationHandoverTest.java
+++ b/src/test/java/umberrun/InvocationHandoverTest.java
@@ -122,4 +122,27 @@
       s.play("h3 send GET @\nh3 expect 410");
     }
   }
+
+  /**
+   * Guards against requests that are left without an answer when their process ends before the
+   * process that runs the call gets its result; that result stays.
+   */
+  @Test
+  public void whoWaitsForACallOfTheOtherProcessIsAnsweredAtTheEnd() throws Exception {
+    try (Scenario s = scenario("w1")) {
+      Server predecessor = s.startSuccessor();
+      Server successor = s.server;
+      s.play("h1 " + CHANGE + "k =a\nw1 expect RUN op=k");
+      s.server = predecessor;
+      s.play("h2 " + CHANGE + "k =a\nh3 " + CHANGE + "k Prefer:respond-async,wait=9 =a");
+      await(predecessor, Count.DEFERRED_JOINED, 2);
+      Thread shutdown = Scenario.daemon(predecessor::shutDown);
+      s.play("h2 expect 502 may\nh3 expect 202 /v1/invocations/");
+      shutdown.join(TimeUnit.SECONDS.toMillis(Scenario.TIMEOUT_SECONDS));
+      s.server = successor;
+      s.play("h4 " + CHANGE + "k =a");
+      await(successor, Count.DEFERRED_JOINED, 1);
+      s.play("w1 send 200 n=w told\nh1 expect 200 told\nh4 expect 200 told\nw1 wait 1");
+    }
+  }
 }
