A repeat under a key is answered before its own client gives up

A repeat with `Prefer: wait=1` that joined a call of 5 s, at either process, was answered after 5 s. Cause: a synchronous request waited for as long as the invocation that it joined; only the request that began an invocation has the invocation's deadline. Change: submit says whether the request has joined (Submission), and such a request is answered with 504 shortly before its own patience ends. If it was the last to wait, the call counts as unattended, as when its client leaves. Evidence: aRepeatIsAnsweredBeforeItsOwnClientGivesUp failed before (both answered after 4 s and more), and passes.

--- a/src/main/java/umberrun/core/Invocation.java
+++ b/src/main/java/umberrun/core/Invocation.java
@@ -142,7 +142,7 @@
   }
 
   /** Removes a waiter that was added by {@link #await}. */
-  public void removeWaiter(ResultWaiter waiter) {
+  void removeWaiter(ResultWaiter waiter) {
     waiters.remove(waiter);
   }
 
--- a/src/main/java/umberrun/core/InvocationRegistry.java
+++ b/src/main/java/umberrun/core/InvocationRegistry.java
@@ -108,7 +108,7 @@
    * @param client the owner of the key: equal keys of different clients are different
    * @throws KeyReused if the key was used for a different call
    */
-  public Invocation submit(Request request, String client, boolean deferred) throws KeyReused {
+  public Submission submit(Request request, String client, boolean deferred) throws KeyReused {
     String scopedKey = request.key() == null ? null : client + '\n' + request.key();
     Invocation invocation =
         new Invocation(
@@ -120,15 +120,17 @@
             journal.process());
     if (!invocation.isKept()) {
       start(invocation);
-      return invocation;
+      return new Submission(invocation, false);
     }
     // Another process must not accept the same key at the same time.
     if (!journal.lock()) {
-      return refuse(invocation);
+      return new Submission(refuse(invocation), false);
     }
     try {
       Invocation existing = scopedKey == null ? null : held.findByKey(scopedKey);
-      return existing == null ? accept(invocation) : join(existing, invocation);
+      return existing == null
+          ? new Submission(accept(invocation), false)
+          : new Submission(join(existing, invocation), true);
     } finally {
       journal.unlock();
     }
--- a/src/main/java/umberrun/front/invoke/InvokeServer.java
+++ b/src/main/java/umberrun/front/invoke/InvokeServer.java
@@ -32,6 +32,7 @@
 import umberrun.core.Lifecycle;
 import umberrun.core.Request;
 import umberrun.core.Result;
+import umberrun.core.Submission;
 import umberrun.front.CallFields;
 import umberrun.front.CallFields.InvalidField;
 import umberrun.stats.Counters;
@@ -55,6 +56,9 @@
   /** How long a connection stays open after an answer sent before its request was complete. */
   private static final long LINGER_MILLIS = 500;
 
+  /** How long before its client gives up a repeat is answered that still has no result. */
+  private static final long REPEAT_ANSWER_MARGIN_MILLIS = 30;
+
   private static final long SHUTDOWN_RETRY_MILLIS = 1_000;
   private static final long MAX_POLL_MILLIS = 30_000;
 
@@ -302,10 +306,12 @@
             "this front end is leaving; not run, trying again does no harm",
             SHUTDOWN_RETRY_MILLIS);
       }
-      Invocation invocation =
+      Submission submission =
           invocations.submit(call, Integer.toString(call.tenant()), preferences.async());
+      Invocation invocation = submission.invocation();
       if (!preferences.async()) {
-        new PendingResponse(vertx, responder, request, invocation, false).start(invocations, 0);
+        new PendingResponse(vertx, responder, request, invocation, false)
+            .start(invocations, submission.joined() ? repeatWaitMillis(call) : 0);
       } else if (invocation.result() instanceof Result.Refused refused && refused.overloaded()) {
         responder.answer(request, refused);
       } else {
@@ -318,6 +324,14 @@
     }
   }
 
+  /**
+   * How long a repeat waits for an invocation that was accepted before it. Only the invocation of a
+   * request itself ends by the time that its client gives up.
+   */
+  private static long repeatWaitMillis(Request call) {
+    return Math.max(1, call.budget() / 1_000 - REPEAT_ANSWER_MARGIN_MILLIS);
+  }
+
   /**
    * Converts a request into a call. The class, tenant and resource hints come from the headers
    * {@code Invoke-Class}, {@code Invoke-Tenant} and {@code Invoke-Figures}.
--- a/src/main/java/umberrun/front/invoke/PendingResponse.java
+++ b/src/main/java/umberrun/front/invoke/PendingResponse.java
@@ -53,7 +53,7 @@
               waitMillis,
               expired -> {
                 timerId = NO_TIMER;
-                invocation.removeWaiter(this);
+                invocations.stopWaiting(invocation, this);
                 answerWithoutResult(true);
               });
     }
--- a/src/test/java/umberrun/InvocationHandoverTest.java
+++ b/src/test/java/umberrun/InvocationHandoverTest.java
@@ -145,4 +145,20 @@
       s.play("w1 send 200 n=w told\nh1 expect 200 told\nh4 expect 200 told\nw1 wait 1");
     }
   }
+
+  /** Guards against a repeat that waits for as long as an earlier, more patient request. */
+  @Test
+  public void aRepeatIsAnsweredBeforeItsOwnClientGivesUp() throws Exception {
+    try (Scenario s = scenario("w1")) {
+      s.play("h1 " + CHANGE + "k =a\nw1 expect RUN op=k");
+      Server predecessor = s.startSuccessor();
+      long start = System.nanoTime();
+      s.play("h2 " + CHANGE + "k Prefer:wait=1 =a\nh2 expect 504 may");
+      s.server = predecessor;
+      s.play("h3 " + CHANGE + "k Prefer:wait=1 =a\nh3 expect 504 may");
+      long seconds = TimeUnit.NANOSECONDS.toSeconds(System.nanoTime() - start);
+      assertTrue("both after " + seconds + " s", seconds < 4);
+      s.play("w1 send 200 n=w told\nh1 expect 200 told\nw1 wait 1");
+    }
+  }
 }
