A late result of a process that stood still is not overwritten by the others

A process stood still beyond a call's deadline and then had the worker's answer; its client got 504, and so did every repeat, though the call was served. Change: 100 ms after the deadline those who wait elsewhere are answered with 504, and the invocation ends 5 s later, unless its process ends it or is found dead. What can't be written is tried again, and gives way to a result that was written first.

--- a/src/main/java/umberrun/core/Invocation.java
+++ b/src/main/java/umberrun/core/Invocation.java
@@ -151,6 +151,11 @@
     removeWaiters().forEach(ResultWaiter::onProcessEnding);
   }
 
+  /** Answers those who wait now; the result of the invocation may still come. */
+  void answerWaiters(Result answer) {
+    removeWaiters().forEach(waiter -> waiter.onResult(answer));
+  }
+
   private List<ResultWaiter> removeWaiters() {
     List<ResultWaiter> removed = List.copyOf(waiters);
     waiters.clear();
@@ -173,7 +178,7 @@
     result = value;
     request = null;
     call = null;
-    removeWaiters().forEach(waiter -> waiter.onResult(value));
+    answerWaiters(value);
     return true;
   }
 
--- a/src/main/java/umberrun/core/InvocationRegistry.java
+++ b/src/main/java/umberrun/core/InvocationRegistry.java
@@ -4,6 +4,7 @@
 import io.vertx.core.buffer.Buffer;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
@@ -53,6 +54,12 @@
   /** Interval at which entries of other processes are read while nobody asks for them. */
   private static final long JOURNAL_POLL_MILLIS = 20;
 
+  /** How late another process may end an invocation before those who wait here are answered. */
+  private static final long OTHER_PROCESS_GRACE_MILLIS = 100;
+
+  /** After how long more an invocation ends that its process, which is alive, does not end. */
+  private static final long OVERDUE_MILLIS = 5_000;
+
   private final Vertx vertx;
   private final Clock clock;
   private final DispatchLoop dispatchLoop;
@@ -75,6 +82,9 @@
   /** Entries that could not be written yet. */
   private final ArrayDeque<InvocationEntry> unwritten = new ArrayDeque<>();
 
+  /** Ids of the invocations of other processes that those entries end. */
+  private final Set<String> unwrittenEnds = new HashSet<>();
+
   /**
    * Invocations that other processes were running when the live processes were last looked for. A
    * process that accepted one of them and is not found the next time has ended.
@@ -227,16 +237,18 @@
     queuedBytes += invocation.requestBodyBytes();
     // A call that is still queued at its deadline never ran, so it is refused: a retry does no
     // harm.
-    finishAtDeadline(invocation, new Result.Refused(OVERLOAD_BACKOFF_MILLIS, false));
+    Result refused = new Result.Refused(OVERLOAD_BACKOFF_MILLIS, false);
+    schedule(invocation, invocation.deadline, () -> finish(invocation, refused));
   }
 
-  private void finishAtDeadline(Invocation invocation, Result result) {
+  /** Sets the timer of an invocation. */
+  private void schedule(Invocation invocation, long time, Runnable action) {
     invocation.timerId =
         vertx.setTimer(
-            Math.max(1, (invocation.deadline - clock.now()) / 1_000),
+            Math.max(1, (time - clock.now()) / 1_000),
             t -> {
               invocation.timerId = -1;
-              finish(invocation, result);
+              action.run();
             });
   }
 
@@ -305,12 +317,7 @@
     try {
       // Another process may have ended it; then that result counts.
       if (invocation.result() == null) {
-        long endedAt = clock.now();
-        InvocationEntry entry = new Ended(invocation.id(), clock.toMachineTime(endedAt), result);
-        if (!locked || !journal.append(entry)) {
-          unwritten.add(entry);
-        }
-        complete(invocation, result, endedAt);
+        end(invocation, result, locked);
       }
     } finally {
       if (locked) {
@@ -319,6 +326,21 @@
     }
   }
 
+  private void end(Invocation invocation, Result result, boolean locked) {
+    long endedAt = clock.now();
+    InvocationEntry entry = new Ended(invocation.id(), clock.toMachineTime(endedAt), result);
+    if (locked && journal.append(entry)) {
+      complete(invocation, result, endedAt);
+    } else if (invocation.local) {
+      unwritten.add(entry);
+      complete(invocation, result, endedAt);
+    } else if (unwrittenEnds.add(invocation.id())) {
+      // The process that runs it may write its result first.
+      unwritten.add(entry);
+      invocation.answerWaiters(result);
+    }
+  }
+
   private void complete(Invocation invocation, Result result, long endedAt) {
     if (invocation.result() != null) {
       return;
@@ -357,13 +379,28 @@
   private void exchange() {
     journal.poll();
     if (!unwritten.isEmpty() && journal.lock()) {
-      while (!unwritten.isEmpty() && journal.append(unwritten.peek())) {
+      while (!unwritten.isEmpty() && writeDelayed(unwritten.peek())) {
         unwritten.poll();
       }
       journal.unlock();
     }
   }
 
+  /** Writes an entry that could not be written before; false if it still can't be. */
+  private boolean writeDelayed(InvocationEntry entry) {
+    if (!unwrittenEnds.contains(entry.id())) {
+      return journal.append(entry);
+    }
+    Invocation invocation = held.find(entry.id());
+    boolean isOver = invocation == null || invocation.result() != null;
+    if (!isOver && !journal.append(entry)) {
+      return false;
+    }
+    unwrittenEnds.remove(entry.id());
+    apply(entry);
+    return true;
+  }
+
   /**
    * Ends the invocations of processes that have died. To be called at intervals.
    *
@@ -371,7 +408,8 @@
    */
   public void onLiveProcesses(Set<String> live) {
     for (Invocation invocation : runningElsewhere) {
-      if (invocation.result() == null && !live.contains(invocation.process)) {
+      boolean isEnding = invocation.result() != null || unwrittenEnds.contains(invocation.id());
+      if (!isEnding && !live.contains(invocation.process)) {
         counters.add(Count.INVOCATIONS_ORPHANED);
         finish(invocation, new Result.Failed(false));
       }
@@ -438,8 +476,19 @@
   private void hold(Accepted accepted) {
     Invocation invocation = new Invocation(accepted, clock.fromMachineTime(accepted.deadline()));
     held.add(invocation);
-    // Its process may have stopped.
-    finishAtDeadline(invocation, new Result.Failed(true));
+    long graceMicros = OTHER_PROCESS_GRACE_MILLIS * 1_000;
+    schedule(invocation, invocation.deadline + graceMicros, () -> onOverdue(invocation));
+  }
+
+  /**
+   * Answers those who wait for an invocation whose process has not ended it at its deadline, as it
+   * may stand still. The invocation itself ends later: a process that goes on may have a result.
+   */
+  private void onOverdue(Invocation invocation) {
+    Result timedOut = new Result.Failed(true);
+    long endAt = clock.now() + OVERDUE_MILLIS * 1_000;
+    schedule(invocation, endAt, () -> finish(invocation, timedOut));
+    invocation.answerWaiters(timedOut);
   }
 
   @Override
