A call that a client at another process waits for is tried again

A call whose first client had left was answered 'full' by its worker; the repeat that waited at the other process got 502 though the call had never run and had time left. Change: an invocation remembers that a repeat joined it elsewhere. Whether that one still waits is not known here; the call's deadline and its limit on attempts bound what is sent. Evidence: aCallIsTriedAgainForAClientThatWaitsAtTheOtherProcess failed before (STOP came in place of a second RUN), and passes.

--- a/src/main/java/umberrun/core/Invocation.java
+++ b/src/main/java/umberrun/core/Invocation.java
@@ -49,6 +49,9 @@
   /** Whether a client was given a location to collect the result at, and it is still there. */
   boolean collectable;
 
+  /** Whether a repeat has joined it at another process, so that a client may wait there. */
+  boolean joinedElsewhere;
+
   /** The Vert.x timer of the queue timeout, the deadline or the retention, or -1. */
   long timerId = -1;
 
@@ -162,9 +165,9 @@
     return removed;
   }
 
-  /** Whether a client waits for the result or may still fetch it. */
+  /** Whether a client may wait for the result, here or at another process, or still fetch it. */
   boolean isAwaited() {
-    return collectable || !waiters.isEmpty();
+    return collectable || joinedElsewhere || !waiters.isEmpty();
   }
 
   /**
--- a/src/main/java/umberrun/core/InvocationRegistry.java
+++ b/src/main/java/umberrun/core/InvocationRegistry.java
@@ -460,6 +460,7 @@
       return;
     } else if (entry instanceof Joined joined) {
       invocation.collectable |= joined.collectable();
+      invocation.joinedElsewhere = true;
       if (invocation.call != null) {
         invocation.call.setClientWaiting(true);
       }
--- a/src/test/java/umberrun/InvocationHandoverTest.java
+++ b/src/test/java/umberrun/InvocationHandoverTest.java
@@ -180,4 +180,22 @@
       s.play("h1 expect 200 told\nh3 " + CHANGE + "k =a\nh3 expect 200 told\nw1 wait 1");
     }
   }
+
+  /** Guards against a call that is not tried again because only clients elsewhere wait for it. */
+  @Test
+  public void aCallIsTriedAgainForAClientThatWaitsAtTheOtherProcess() throws Exception {
+    try (Scenario s = scenario("w1")) {
+      s.play("h1 " + CHANGE + "k =a\nw1 expect RUN op=k");
+      Server predecessor = s.startSuccessor();
+      Server successor = s.server;
+      s.play("h2 " + CHANGE + "k =a");
+      await(successor, Count.DEFERRED_JOINED, 1);
+      s.server = predecessor;
+      // The answer to the first request shows that the predecessor has read the journal.
+      s.play("h3 " + CHANGE + "k2" + DEFERRED + "h3 expect 202\nw1 expect RUN op=k2");
+      s.play("h1 close\nh4 send GET /v1/health\nh4 expect 200");
+      s.play("w1 send previous 503\nw1 expect RUN op=k\nw1 send 200 n=w told");
+      s.play("h2 expect 200 told");
+    }
+  }
 }
