A process that is told to end while it starts takes no clients

A process that got SIGTERM during its start went on with it: it opened its listeners, published that it is ready, and ended a moment later. Clients that reached it were cut off, and a predecessor could hand over to it. Cause: the steps of the start did not look at the shutdown that had begun meanwhile. Change: a start that was told to end does not become ready and does not listen. Evidence: aProcessThatEndsWhileItStartsTakesNoClients failed before (the process listened), and passes.

--- a/src/main/java/umberrun/Server.java
+++ b/src/main/java/umberrun/Server.java
@@ -18,6 +18,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import java.util.logging.Level;
 import java.util.logging.Logger;
 import saddlestall.AdaptiveDispatcher;
@@ -124,6 +125,9 @@
   /** The timer of {@link #closeIdleConnections}, or -1 if it is not running. */
   private long closeIdleTimer = -1;
 
+  /** Whether this process was told to end. */
+  private boolean ending;
+
   private volatile boolean healthy;
   private Future<Void> factsFetched = Future.succeededFuture();
   private int operatorPort;
@@ -449,13 +453,17 @@
               return whenKeepingUp();
             })
         .compose(v -> factsFetched)
-        .compose(v -> handover == null ? Future.succeededFuture() : handover.ready())
+        .compose(v -> handover == null ? Future.succeededFuture() : unlessEnding(handover::ready))
         // The suspensions of maintenance plans must hold before anything is sent to a worker.
         .compose(v -> fleet == null ? Future.succeededFuture() : fleet.whenBound())
-        .compose(v -> rpcServer.listen(config.listen()))
+        .compose(v -> unlessEnding(() -> rpcServer.listen(config.listen())))
         .compose(
             port -> {
               rpcPort = port;
+              if (ending) {
+                stopListening();
+                return neverCompleted();
+              }
               // In the same turn as the listener: a heartbeat answered "not healthy" would keep
               // clients away.
               lifecycle.serve(clock.now());
@@ -471,6 +479,18 @@
             });
   }
 
+  /**
+   * Goes on with the start, unless this process was told to end meanwhile: it must neither pass as
+   * a successor nor take clients any more.
+   */
+  private <T> Future<T> unlessEnding(Supplier<Future<T>> nextStep) {
+    return ending ? neverCompleted() : nextStep.get();
+  }
+
+  private static <T> Future<T> neverCompleted() {
+    return Promise.<T>promise().future();
+  }
+
   /** Joins the fleet if that is enabled; the start does not wait for it. */
   private void joinFleet() {
     OperatorFile operatorFile = config.operatorFile();
@@ -724,6 +744,7 @@
   void shutDown() {
     context.runOnContext(
         v -> {
+          ending = true;
           if (rpcServer == null) {
             ended.countDown();
           } else if (handover == null) {
--- a/src/main/java/umberrun/handover/Handover.java
+++ b/src/main/java/umberrun/handover/Handover.java
@@ -64,6 +64,9 @@
   private final Path folder;
   private boolean ready;
 
+  /** Whether this process is about to end, so that it never becomes ready again. */
+  private boolean leaving;
+
   /** Number of the last suspension change applied here. */
   private long applied;
 
@@ -344,7 +347,7 @@
             })
         .compose(
             v -> {
-              ready = true;
+              ready = !leaving;
               return publishProgress();
             })
         .compose(v -> catchUp());
@@ -425,6 +428,7 @@
    * @return whether another live process accepts clients at the same address
    */
   public Future<Boolean> leave() {
+    leaving = true;
     ready = false;
     return publishProgress()
         .compose(v -> vertx.executeBlocking(store::otherProcesses))
--- a/src/test/java/umberrun/InvocationHandoverTest.java
+++ b/src/test/java/umberrun/InvocationHandoverTest.java
@@ -198,4 +198,15 @@
       s.play("h2 expect 200 told");
     }
   }
+
+  /** Guards against clients that reach a process which was told to end while it started. */
+  @Test
+  public void aProcessThatEndsWhileItStartsTakesNoClients() throws Exception {
+    try (Scenario s = scenario("w1")) {
+      Server ended = s.startSuccessorAndEndIt();
+      assertEquals(0, ended.rpcPort());
+      assertEquals(0, ended.invokePort());
+      s.play("h1 " + CHANGE + "k =a\nw1 expect RUN op=k\nw1 send 200 n=w told\nh1 expect 200");
+    }
+  }
 }
--- a/src/test/java/umberrun/Scenario.java
+++ b/src/test/java/umberrun/Scenario.java
@@ -280,6 +280,23 @@
     return previous;
   }
 
+  /**
+   * Starts a second front end at the same client address, and tells it to end while it starts.
+   *
+   * @return the second front end, which has ended
+   */
+  Server startSuccessorAndEndIt() throws Exception {
+    write(config(server.rpcPort()));
+    Server ended = new Server(Config.read(env), sharedFolder, this::reportBrokenLoop);
+    servers.add(ended);
+    ended.open();
+    while (ended.operatorPort() == 0) {
+      LockSupport.parkNanos(SPIN_NANOS);
+    }
+    ended.shutDown();
+    return ended;
+  }
+
   /**
    * Starts another front end beside this one. After it has read its configuration, and before it
    * opens, the change log moves and the signal to reload arrives.
