--- a/src/main/java/umberrun/core/Invocation.java
+++ b/src/main/java/umberrun/core/Invocation.java
@@ -15,6 +15,9 @@
    */
   private static final int FIXED_BYTES = 1_024;
 
+  /** Between the owner and the key in a scoped key; keys do not contain it. */
+  private static final char OWNER_SEPARATOR = '\n';
+
   private final String id;
 
   /** The idempotency key together with the client that it belongs to, or null. */
@@ -99,6 +102,16 @@
     return result;
   }
 
+  /** The client that its key belongs to; empty without a key. */
+  String owner() {
+    return scopedKey == null ? "" : scopedKey.substring(0, scopedKey.indexOf(OWNER_SEPARATOR));
+  }
+
+  /** A key together with the client that it belongs to: equal keys of others are different. */
+  static String scopedKey(String owner, Object key) {
+    return owner + OWNER_SEPARATOR + key;
+  }
+
   /** Whether it is kept after its end, for its result or its key. */
   boolean isKept() {
     return deferred || scopedKey != null;
--- a/src/main/java/umberrun/core/InvocationRegistry.java
+++ b/src/main/java/umberrun/core/InvocationRegistry.java
@@ -119,7 +119,7 @@
    * @throws KeyReused if the key was used for a different call
    */
   public Submission submit(Request request, String client, boolean deferred) throws KeyReused {
-    String scopedKey = request.key() == null ? null : client + '\n' + request.key();
+    String scopedKey = request.key() == null ? null : Invocation.scopedKey(client, request.key());
     Invocation invocation =
         new Invocation(
             UUID.randomUUID().toString(),
--- a/src/test/java/umberrun/core/InvocationRetentionTest.java
+++ b/src/test/java/umberrun/core/InvocationRetentionTest.java
@@ -17,6 +17,10 @@
   private static final long MAX_BYTES = 1 << 20;
 
   private static Invocation served(int number, int resultBytes, long endedAt) {
+    return served("0", number, resultBytes, endedAt);
+  }
+
+  private static Invocation served(String owner, int number, int resultBytes, long endedAt) {
     Request request =
         new Request(
             Buffer.buffer("r" + number),
@@ -30,7 +34,8 @@
             Request.ResourceHints.NONE,
             Buffer.buffer(new byte[BODY_BYTES]));
     Invocation invocation =
-        new Invocation("id" + number, "0\nk" + number, request, true, 1_000, "");
+        new Invocation(
+            "id" + number, Invocation.scopedKey(owner, "k" + number), request, true, 1_000, "");
     invocation.start(null);
     invocation.endedAt = endedAt;
     invocation.complete(new Result.Served(Buffer.buffer(new byte[resultBytes])));
@@ -75,4 +80,21 @@
     assertTrue(retention.remove(first));
     assertFalse(retention.remove(first));
   }
+
+  /** Guards against one tenant's flood of keys that pushes out the results of the others. */
+  @Test
+  public void theLargestOwnerGivesWay() {
+    InvocationRetention retention = new InvocationRetention(100, MAX_BYTES, WINDOW);
+    Invocation usual = served("usual", 0, 1_000, 0);
+    retention.add(usual);
+    for (int i = 1; i < 1_000; i++) {
+      retention.add(served("flood", i, i % 2 == 0 ? 0 : RESULT_BYTES, 0));
+      while (!retention.hasRoom()) {
+        assertTrue(retention.remove(retention.evictable(WINDOW)));
+      }
+    }
+    assertTrue(retention.bytes() <= MAX_BYTES);
+    assertTrue(usual.result() instanceof Result.Served);
+    assertTrue(retention.remove(usual));
+  }
 }
