--- a/src/main/java/saddlestall/DispatcherState.java
+++ b/src/main/java/saddlestall/DispatcherState.java
@@ -213,6 +213,7 @@
   void setReadyWorkers(List<Worker> list) {
     readyWorkers = list.toArray(new Worker[0]);
     listVersion++;
+    functions.setWorkers(readyWorkers.length);
     if (featureRows.length < readyWorkers.length) {
       featureRows = new double[readyWorkers.length][weights.length];
       scores = new double[readyWorkers.length];
--- a/src/main/java/saddlestall/FunctionTable.java
+++ b/src/main/java/saddlestall/FunctionTable.java
@@ -36,12 +36,21 @@
       this.capacity = capacity;
     }
 
-    /** How many functions of this standing are remembered besides those in use. */
+    /**
+     * How many functions of this standing are remembered besides those in use, with up to {@link
+     * #FULL_CAPACITY_WORKERS} workers.
+     */
     int capacity() {
       return capacity;
     }
   }
 
+  /**
+   * With more workers, fewer functions are remembered: the home order of each takes memory and time
+   * for every worker.
+   */
+  static final int FULL_CAPACITY_WORKERS = 512;
+
   /** A repeat sooner than this after the first call may be a retry of that call. */
   private static final long MIN_REGULAR_AGE_MICROS = 1_000_000;
 
@@ -49,6 +58,7 @@
   private static final int IDLE_FORGOTTEN_DIVISOR = 512;
 
   private final Consumer<Function> onForgotten;
+  private int workers;
 
   /** All functions, the one that was looked up least recently first. */
   private final Map<Long, Function> functions = new LinkedHashMap<>(64, 0.75f, true);
@@ -66,6 +76,18 @@
     }
   }
 
+  /** Sets the number of workers, by which the bounds go. */
+  void setWorkers(int count) {
+    workers = count;
+  }
+
+  /** How many functions of a standing are remembered now besides those in use. */
+  int bound(Standing standing) {
+    return workers <= FULL_CAPACITY_WORKERS
+        ? standing.capacity()
+        : (int) Math.max(1, (long) standing.capacity() * FULL_CAPACITY_WORKERS / workers);
+  }
+
   /** All functions, the one that was looked up least recently first. */
   Collection<Function> all() {
     return Collections.unmodifiableCollection(functions.values());
@@ -138,13 +160,17 @@
     }
   }
 
-  /** Adds a function that is not in use; another one gives way where there are too many. */
+  /** Adds a function that is not in use; others give way where there are too many. */
   private void addUnused(Function function) {
     Set<Function> sameStanding = unused.get(function.standing);
     sameStanding.add(function);
-    if (sameStanding.size() <= function.standing.capacity()) {
-      return;
+    int bound = bound(function.standing);
+    while (sameStanding.size() > bound) {
+      displaceEldest(sameStanding);
     }
+  }
+
+  private void displaceEldest(Set<Function> sameStanding) {
     Function displaced = sameStanding.iterator().next();
     if (displaced.standing == Standing.REGULAR) {
       setStanding(displaced, Standing.SERVED);
--- a/src/test/java/saddlestall/FunctionFloodTest.java
+++ b/src/test/java/saddlestall/FunctionFloodTest.java
@@ -121,6 +121,17 @@
     assertEquals(0, copies());
   }
 
+  /** Guards against home orders that fill the heap where there are many workers. */
+  @Test
+  void moreWorkersMakeFewerFunctions() {
+    FunctionTable table = new FunctionTable(function -> {});
+    table.setWorkers(4 * FunctionTable.FULL_CAPACITY_WORKERS);
+    for (int id = 0; id < MAX_UNUSED; id++) {
+      table.release(table.acquireForCall(id, 0));
+    }
+    assertEquals(Standing.UNSERVED.capacity() / 4, table.size());
+  }
+
   /** Guards against a function that is forgotten while a call of it is open. */
   @Test
   void functionsInUseStayAndRegularOnesOutliveNewOnes() {
