The test of a vanished process keeps its other processes open

Cause: aProcessThatEndsHidesNoOtherOne failed once in some 30 runs, with 0 for 2. It kept no reference to the two live processes, so the garbage collector could close their lock files, and they counted as ended. Change: the test closes them itself, after its check. The check is the same.

--- a/src/test/java/umberrun/handover/HandoverStoreTest.java
+++ b/src/test/java/umberrun/handover/HandoverStoreTest.java
@@ -51,13 +51,16 @@
   @Test
   public void aProcessThatEndsHidesNoOtherOne() throws Exception {
     HandoverStore reader = store("a");
-    store("b");
-    store("c");
+    HandoverStore b = store("b");
+    HandoverStore c = store("c");
     for (int i = 0; i < 20; i++) {
       // Its target does not exist, so it is listed and can't be opened.
       Files.createSymbolicLink(shared.resolve("process-gone" + i + ".lock"), shared.resolve("x"));
     }
     assertEquals(2, reader.otherProcesses().size());
+    // They are closed here, and not by the garbage collector before.
+    b.close();
+    c.close();
   }
 
   /**
