What operators, probers and plans read of workers has left DispatchLoop

Change: WorkerReports and WorkerView, moved as they were; the operators' list of workers is put together in smaller steps with the same text.

--- a/src/main/java/umberrun/core/DispatchLoop.java
+++ b/src/main/java/umberrun/core/DispatchLoop.java
@@ -5,17 +5,14 @@
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
-import java.time.Instant;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
-import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
-import java.util.TreeMap;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import java.util.function.Function;
@@ -121,6 +118,7 @@
   private final DiscoveryMonitor discovery;
   private final FactTranslator factTranslator;
   private final FunctionNames functionNames;
+  private final WorkerReports workerReports;
 
   /** Attempts and preload requests in flight, by worker number. */
   private final Map<Integer, Integer> inFlight = new HashMap<>();
@@ -177,6 +175,17 @@
     this.transport = transportFactory.apply(this);
     this.dispatcher = dispatcherFactory.apply(actions::add);
     this.functionNames = new FunctionNames(MAX_FUNCTION_NAMES, dispatcher::remembers);
+    this.workerReports =
+        new WorkerReports(
+            clock,
+            settings,
+            workerTable,
+            suspensions,
+            discovery,
+            dispatcher,
+            this::effectiveState,
+            inFlight,
+            reportedFailing);
     post(this::execute);
   }
 
@@ -576,23 +585,6 @@
         });
   }
 
-  /**
-   * Sorted names of the workers that may get work.
-   *
-   * @param zone index of the hall in the settings, or -1 for all halls
-   */
-  public List<String> readyWorkers(int zone) {
-    List<String> names = new ArrayList<>();
-    for (WorkerTable.Entry entry : workerTable.all()) {
-      if ((zone < 0 || entry.endpoint().zone() == zone)
-          && effectiveState(entry).state() == WorkerState.READY) {
-        names.add(entry.endpoint().name());
-      }
-    }
-    names.sort(null);
-    return names;
-  }
-
   private void startTimer(StartTimer action) {
     // A token that is not negative is the id of a call.
     Call call = action.token() >= 0 ? calls.get((int) action.token()) : null;
@@ -783,42 +775,14 @@
         });
   }
 
-  /**
-   * Describes the workers for operators: a line for each that is listed or suspended, with its
-   * name, its state, and since when it is held back or suspended.
-   */
+  /** Describes the workers for operators; see {@link WorkerReports#describe}. */
   public Future<String> describeWorkers() {
-    return supplyInTurn(
-        () -> {
-          Map<String, String> lines = new TreeMap<>();
-          suspensions.suspendedAt().forEach((name, at) -> lines.put(name, "unlisted"));
-          workerTable
-              .all()
-              .forEach(
-                  e ->
-                      lines.put(
-                          e.endpoint().name(),
-                          e.endpoint().state().name().toLowerCase(Locale.ROOT)
-                              + (discovery.leases().isHeldBack(e.id())
-                                  ? " held back since "
-                                      + Instant.ofEpochMilli(
-                                          discovery.leases().heldBackSince(e.id()) / 1_000)
-                                  : "")));
-          StringBuilder text = new StringBuilder();
-          lines.forEach(
-              (name, state) ->
-                  text.append(name)
-                      .append(' ')
-                      .append(state)
-                      .append(
-                          suspensions.isSuspended(name)
-                              ? " out since "
-                                  + Instant.ofEpochMilli(
-                                      suspensions.suspendedAt().get(name) / 1_000)
-                              : "")
-                      .append('\n'));
-          return text.toString();
-        });
+    return supplyInTurn(workerReports::describe);
+  }
+
+  /** What this front end knows of its workers. To be used on the thread of the event loop. */
+  public WorkerReports workerReports() {
+    return workerReports;
   }
 
   // ---------------------------------------------------------------- facts from other front ends
@@ -894,25 +858,6 @@
 
   // ---------------------------------------------------------------- plans of the whole fleet
 
-  /**
-   * A worker as this front end sees it.
-   *
-   * @param zone index of its hall in the settings
-   * @param kind index of its hardware kind in the settings
-   * @param ready whether the list has it as ready and its lease has not ended
-   * @param startedAt when it started, in Unix microseconds, or 0 for long ago
-   * @param cold whether it was started so recently that it is still warming up
-   * @param failing whether the health prober of its hall reports it as failing
-   */
-  public record WorkerView(
-      String name,
-      int zone,
-      int kind,
-      boolean ready,
-      long startedAt,
-      boolean cold,
-      boolean failing) {}
-
   /**
    * Suspends the workers that plans suspend, and ends all other suspensions by plans. Completes
    * once that is in effect here.
@@ -928,78 +873,6 @@
         });
   }
 
-  /** The listed workers. Suspensions do not affect {@code ready}. */
-  public List<WorkerView> workerViews() {
-    long now = clock.now();
-    List<WorkerView> views = new ArrayList<>();
-    for (WorkerTable.Entry entry : workerTable.all()) {
-      Endpoint endpoint = entry.endpoint();
-      long startedAt = effectiveState(entry).startedAt();
-      // A worker whose lease has ended may drain, so it does not count as ready.
-      boolean ready =
-          endpoint.state() == WorkerState.READY && !discovery.leases().isHeldBack(entry.id());
-      views.add(
-          new WorkerView(
-              endpoint.name(),
-              endpoint.zone(),
-              endpoint.kind(),
-              ready,
-              endpoint.startedAt(),
-              startedAt > 0 && now - startedAt < settings.rules().coldDuration(),
-              reportedFailing.contains(endpoint.name())));
-    }
-    return views;
-  }
-
-  /**
-   * Attempts and preload requests in flight, by worker name. Leaves out workers that are no longer
-   * listed.
-   */
-  public Map<String, Integer> inFlightByWorker() {
-    Map<String, Integer> byName = new TreeMap<>();
-    inFlight.forEach(
-        (id, count) -> {
-          WorkerTable.Entry entry = workerTable.find(id);
-          if (entry != null) {
-            byName.put(entry.endpoint().name(), count);
-          }
-        });
-    return byName;
-  }
-
-  /**
-   * Functions in recent use, as 16 hex digits, and the names of the workers that have them loaded,
-   * as far as this front end has observed.
-   *
-   * @param limit the number of functions that are considered, the most used first
-   */
-  public Map<String, Set<String>> copiesByFunction(int limit) {
-    Map<Long, Double> recentCalls = new HashMap<>();
-    Map<Long, Set<String>> workersByFunction = new HashMap<>();
-    dispatcher.exportObservations(
-        clock.now(),
-        observation -> {
-          if (observation instanceof Dispatcher.FunctionObservation function
-              && function.recentCalls() >= 1) {
-            recentCalls.put(function.function(), function.recentCalls());
-          } else if (observation instanceof Dispatcher.CopyObservation copy
-              && workerTable.find(copy.worker()) != null
-              && !discovery.leases().isHeldBack(copy.worker())) {
-            workersByFunction
-                .computeIfAbsent(copy.function(), k -> new HashSet<>())
-                .add(workerTable.find(copy.worker()).endpoint().name());
-          }
-        });
-    Map<String, Set<String>> byName = new TreeMap<>();
-    recentCalls.entrySet().stream()
-        .sorted(Map.Entry.<Long, Double>comparingByValue().reversed())
-        .limit(limit)
-        .filter(e -> workersByFunction.containsKey(e.getKey()))
-        .forEach(
-            e -> byName.put(String.format("%016x", e.getKey()), workersByFunction.get(e.getKey())));
-    return byName;
-  }
-
   /**
    * Lets the dispatcher request a copy of a function at a worker, within its limits on preloading.
    */
--- a/src/main/java/umberrun/lease/net/HallProber.java
+++ b/src/main/java/umberrun/lease/net/HallProber.java
@@ -73,7 +73,8 @@
     if (!dispatchLoop.isKeepingUp()) {
       return;
     }
-    for (String worker : monitor.workersToProbe(clock.now(), dispatchLoop.readyWorkers(zone))) {
+    for (String worker :
+        monitor.workersToProbe(clock.now(), dispatchLoop.workerReports().readyWorkers(zone))) {
       if (activeFence.getAsLong() < 0) {
         return;
       }
--- a/src/main/java/umberrun/works/net/WorksManager.java
+++ b/src/main/java/umberrun/works/net/WorksManager.java
@@ -30,6 +30,7 @@
 import umberrun.consensus.net.RegisterManager;
 import umberrun.core.Clock;
 import umberrun.core.DispatchLoop;
+import umberrun.core.WorkerView;
 import umberrun.fleet.Peer;
 import umberrun.fleet.net.FleetManager;
 import umberrun.lease.net.DutyRunner;
@@ -473,7 +474,7 @@
 
   /** Sends a report to all living members, and keeps it if this front end holds the duty. */
   private void report() {
-    Map<String, Integer> inFlight = dispatcher.inFlightByWorker();
+    Map<String, Integer> inFlight = dispatcher.workerReports().inFlightByWorker();
     boolean needsCopies =
         participant.ledger().machines().stream()
             .anyMatch(m -> m.stage() == Stage.WAITING || m.stage() == Stage.MOVING);
@@ -482,7 +483,9 @@
             appliedBans,
             name -> inFlight.getOrDefault(name, 0),
             inFlight,
-            needsCopies ? dispatcher.copiesByFunction(MAX_REPORTED_FUNCTIONS) : Map.of(),
+            needsCopies
+                ? dispatcher.workerReports().copiesByFunction(MAX_REPORTED_FUNCTIONS)
+                : Map.of(),
             callsPerSecond,
             refusedPerSecond);
     counters.add(Count.WORKS_REPORTS);
@@ -536,7 +539,7 @@
         || activeFence.getAsLong() < 0
         || participant.version() < 0
         || !dispatcher.isKeepingUp()
-        || dispatcher.workerViews().isEmpty()) {
+        || dispatcher.workerReports().workerViews().isEmpty()) {
       return;
     }
     PlanExecutor current = executor;
@@ -580,7 +583,7 @@
   /** The machines of the worker list, and those of plans that the list no longer names. */
   private MachineView observedMachines() {
     Map<String, MachineView.ObservedMachine> observed = new TreeMap<>();
-    for (DispatchLoop.WorkerView m : dispatcher.workerViews()) {
+    for (WorkerView m : dispatcher.workerReports().workerViews()) {
       observed.put(
           m.name(),
           new MachineView.ObservedMachine(
