--- a/src/test/java/saddlestall/benchlink/FixedInputDecisionsTest.java
+++ b/src/test/java/saddlestall/benchlink/FixedInputDecisionsTest.java
@@ -26,13 +26,9 @@
 class FixedInputDecisionsTest {
   private static final String SETTINGS =
       """
-      {"Classes": [
-        {"Aim": 400, "GiveUp": 4000, "Group": "all", "Idempotency": "idempotent", "Worth": 1, "LateWorth": 0.2},
+      {"Classes": [{"Aim": 400, "GiveUp": 4000, "Group": "all", "Idempotency": "idempotent", "Worth": 1, "LateWorth": 0.2},
         {"Aim": 400, "GiveUp": 5000, "Group": "zone", "Idempotency": "deduplicated", "DedupWindow": 5000, "Worth": 3}],
-       "FamilyInfo": {"CountsAlike": true, "FreeLoads": 4, "LoadsPerRequest": 0.15, "LoadsWithin": 5000,
-         "MayLoad": true, "MissMode": "load", "StaysLoaded": 9000, "WarmNotes": true},
-       "Limits": {"ConnectTimeout": 250, "MaxRetryAfter": 1000, "MayDuplicate": true, "MostTries": 6, "RetryAfter": true},
-       "MembershipMode": "automatic", "OverShareWorth": 0.1, "Report": {"Via": "silent"},
+       "FamilyInfo": {"CountsAlike": true, "FreeLoads": 4, "LoadsPerRequest": 0.15, "LoadsWithin": 5000, "MayLoad": true, "MissMode": "load", "StaysLoaded": 9000, "WarmNotes": true}, "Limits": {"ConnectTimeout": 250, "MaxRetryAfter": 1000, "MayDuplicate": true, "MostTries": 6, "RetryAfter": true}, "MembershipMode": "automatic", "OverShareWorth": 0.1, "Report": {"Via": "silent"},
        "Rules": {"Cold": 17000, "ColdFrom": 0.18, "DrainGrace": 1000, "Fall": 1000, "FallMultiple": 2},
        "Siblings": 3, "Tenants": [{"QuotaPerS": 300}, {"QuotaPerS": 100}], "Zone": 1, "Zones": ["a", "b", "c"]}""";
 
@@ -77,8 +73,7 @@
           .put((byte) (id == draining ? 2 : 1))
           .putFloat(1)
           .putDouble(id == restarted ? restartedAt : 0)
-          .putShort((short) 0)
-          .putShort((short) 0)
+          .putInt(0)
           .putInt(id);
     }
     return entries.array();
@@ -102,9 +97,7 @@
         case 1 -> run(actions.getInt(), actions.getInt(), actions.getDouble());
         case 5 -> schedule(now + actions.getDouble(), event(7).putLong(actions.getLong()));
         case 13 -> load(actions.getInt(), actions.getLong());
-        default -> {
-          // Nothing happens in answer to the other actions.
-        }
+        default -> {}
       }
     }
   }
--- a/src/test/java/umberrun/InvocationHandoverTest.java
+++ b/src/test/java/umberrun/InvocationHandoverTest.java
@@ -188,9 +188,12 @@
   @Test
   public void aProcessThatEndsWhileItStartsTakesNoClients() throws Exception {
     try (Scenario s = scenario("w1")) {
-      Server ended = s.startSuccessorAndEndIt();
-      assertEquals(0, ended.rpcPort());
-      assertEquals(0, ended.invokePort());
+      Server predecessor = s.server;
+      s.beginSuccessor();
+      s.server.shutDown();
+      assertEquals(0, s.server.rpcPort());
+      assertEquals(0, s.server.invokePort());
+      s.server = predecessor;
       s.play("h1 " + CHANGE + "k =a\nw1 expect RUN op=k\nw1 send 200 n=w told\nh1 expect 200");
     }
   }
--- a/src/test/java/umberrun/Scenario.java
+++ b/src/test/java/umberrun/Scenario.java
@@ -268,33 +268,25 @@
    */
   Server startSuccessorAnd(Check whileStarting) throws Exception {
     Server previous = server;
-    write(config(previous.rpcPort()));
-    server = new Server(Config.read(env), sharedFolder, this::reportBrokenLoop);
-    servers.add(server);
-    CompletableFuture<Void> opened = server.open().toCompletionStage().toCompletableFuture();
-    while (server.operatorPort() == 0) {
-      LockSupport.parkNanos(SPIN_NANOS);
-    }
+    CompletableFuture<Void> opened = beginSuccessor();
     whileStarting.run();
     opened.get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
     return previous;
   }
 
   /**
-   * Starts a second front end at the same client address, and tells it to end while it starts.
-   *
-   * @return the second front end, which has ended
+   * Begins to start a second front end at the same client address, and returns as soon as operators
+   * can connect to it, while it starts.
    */
-  Server startSuccessorAndEndIt() throws Exception {
+  CompletableFuture<Void> beginSuccessor() throws Exception {
     write(config(server.rpcPort()));
-    Server ended = new Server(Config.read(env), sharedFolder, this::reportBrokenLoop);
-    servers.add(ended);
-    ended.open();
-    while (ended.operatorPort() == 0) {
+    server = new Server(Config.read(env), sharedFolder, this::reportBrokenLoop);
+    servers.add(server);
+    CompletableFuture<Void> opened = server.open().toCompletionStage().toCompletableFuture();
+    while (server.operatorPort() == 0) {
       LockSupport.parkNanos(SPIN_NANOS);
     }
-    ended.shutDown();
-    return ended;
+    return opened;
   }
 
   /**
--- a/src/test/java/umberrun/core/FunctionNamesTest.java
+++ b/src/test/java/umberrun/core/FunctionNamesTest.java
@@ -27,13 +27,10 @@
     }
     assertTrue(names.size() <= CAPACITY);
     assertEquals(upperCase(NEEDED), names.name(NEEDED));
-  }
-
-  @Test
-  public void namesInTheUsualFormTakeNoRoom() {
-    names.record(NEEDED, upperCase(NEEDED));
+    int size = names.size();
+    // The usual form takes no room.
     names.record(NEEDED, Buffer.buffer("0000000000000abc"));
-    assertEquals(0, names.size());
+    assertEquals(size - 1, names.size());
     assertEquals(Buffer.buffer("0000000000000abc"), names.name(NEEDED));
   }
 }
