A repeat's delayed entry is not taken for the end of its invocation

Cause: by reading again: a joined entry that could not be written shares its id with a delayed end of the same invocation, which would then have been written without taking effect here. Change: only an end counts as one.

--- a/src/main/java/umberrun/core/InvocationRegistry.java
+++ b/src/main/java/umberrun/core/InvocationRegistry.java
@@ -363,7 +363,8 @@
 
   /** Writes an entry that could not be written before; false if it still can't be. */
   private boolean writeDelayed(InvocationEntry entry) {
-    if (!unwrittenEnds.contains(entry.id())) {
+    boolean endsForeign = entry instanceof Ended && unwrittenEnds.contains(entry.id());
+    if (!endsForeign) {
       return journal.append(entry);
     }
     Invocation invocation = held.find(entry.id());
