--- a/src/test/java/umberrun/Processes.java
+++ b/src/test/java/umberrun/Processes.java
@@ -337,6 +337,9 @@
   /** How long a client waits between an answer and its next call. */
   volatile int pauseMillis = 5;
 
+  /** How long a client waits for an answer, as its calls say. */
+  volatile int budgetMillis = CALL_BUDGET_MILLIS;
+
   /** How many functions are called, with equal shares. */
   volatile int functions = 20;
 
@@ -707,7 +710,7 @@
     while (!closed) {
       boolean wasDisturbed = node.disturbed;
       try (Socket socket = new Socket(LOOPBACK, node.rpcPort)) {
-        socket.setSoTimeout(CALL_BUDGET_MILLIS + ANSWER_SLACK_MILLIS);
+        socket.setSoTimeout(budgetMillis + ANSWER_SLACK_MILLIS);
         MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(socket.getInputStream());
         for (int id = 1; !closed; id++) {
           wasDisturbed = node.disturbed;
@@ -768,7 +771,7 @@
             "rid",
             String.format("%016x", requestId),
             "budget",
-            Integer.toString(CALL_BUDGET_MILLIS),
+            Integer.toString(budgetMillis),
             "acct",
             "central-council",
             "obj",
