Metrics of the event loop's turns, and reasons of closes, refusals and retries

Now a turn of the event loop of 50 ms or more is counted and logged once a second with the owner of its largest part (EventLoopMeter), and counters tell why each connection of a client or to a worker was closed, why calls were refused, and after what a call was tried again.

--- a/src/main/java/umberrun/Server.java
+++ b/src/main/java/umberrun/Server.java
@@ -42,6 +42,8 @@
 import umberrun.ops.OperatorServer;
 import umberrun.stats.Counters;
 import umberrun.stats.Counters.Count;
+import umberrun.stats.EventLoopMeter;
+import umberrun.transport.SingleLoopTransport;
 import umberrun.worker.WorkerPool;
 import umberrun.workerlist.ChangeLogSource;
 import umberrun.workerlist.ConsulSource;
@@ -110,7 +112,8 @@
 
   private final Lifecycle lifecycle;
   private final ConnectionLimits connectionLimits;
-  private final SingleLoopTransport transport = new SingleLoopTransport();
+  private final EventLoopMeter loopMeter = new EventLoopMeter(counters, Server::log);
+  private final SingleLoopTransport transport = new SingleLoopTransport(loopMeter);
   private final Path sharedFolder;
 
   /** The handover to and from other processes, or null if there is no shared folder. */
@@ -371,6 +374,7 @@
             Server::log,
             actions ->
                 new AdaptiveDispatcher(config.settings(), config.seed(), clock.now(), actions),
+            loopMeter,
             loop ->
                 new WorkerPool(
                     vertx,
--- a/src/main/java/umberrun/core/Attempt.java
+++ b/src/main/java/umberrun/core/Attempt.java
@@ -72,6 +72,11 @@
                         other != this && other.mayHaveRun() && now - other.sentAt >= dedupWindow));
   }
 
+  /** The outcome, or null while the attempt is in flight. */
+  OutcomeCode outcome() {
+    return outcome;
+  }
+
   private boolean mayHaveRun() {
     return outcome == null || !outcome.notRun;
   }
--- a/src/main/java/umberrun/core/DispatchLoop.java
+++ b/src/main/java/umberrun/core/DispatchLoop.java
@@ -49,6 +49,7 @@
 import umberrun.learning.FactFilter;
 import umberrun.stats.Counters;
 import umberrun.stats.Counters.Count;
+import umberrun.stats.EventLoopMeter;
 
 /**
  * The event loop around the decision module ({@link Dispatcher}). Whatever happens on a socket is
@@ -101,6 +102,7 @@
   private final Counters counters;
   private final Settings settings;
   private final Consumer<String> log;
+  private final EventLoopMeter loopMeter;
   private final Dispatcher dispatcher;
   private final WorkerTransport transport;
   private final ArrayDeque<Runnable> queue = new ArrayDeque<>();
@@ -142,6 +144,7 @@
 
   /**
    * @param dispatcherFactory creates the dispatcher, given the consumer of its first actions
+   * @param loopMeter is told how long the steps of this loop take
    * @param transportFactory creates the transport to the workers, given this loop
    */
   public DispatchLoop(
@@ -152,6 +155,7 @@
       Settings settings,
       Consumer<String> log,
       Function<Consumer<Action>, Dispatcher> dispatcherFactory,
+      EventLoopMeter loopMeter,
       Function<DispatchLoop, WorkerTransport> transportFactory) {
     this.vertx = vertx;
     this.context = context;
@@ -159,6 +163,7 @@
     this.counters = counters;
     this.settings = settings;
     this.log = log;
+    this.loopMeter = loopMeter;
     this.lag = new LagMeter(vertx, clock);
     this.factTranslator = new FactTranslator(settings);
     this.suspensions = new WorkerSuspensions(settings.rules().drainGrace());
@@ -257,8 +262,10 @@
 
   private void runQueuedSteps() {
     scheduled = false;
+    long startedAt = System.nanoTime();
+    int steps = queue.size();
     // Steps queued meanwhile wait for the next run, so that the sockets get their turn.
-    for (int n = queue.size(); n > 0; n--) {
+    for (int n = steps; n > 0; n--) {
       try {
         queue.poll().run();
       } catch (RuntimeException e) {
@@ -268,6 +275,7 @@
             "fault: " + e + " at " + (e.getStackTrace().length > 0 ? e.getStackTrace()[0] : "?"));
       }
     }
+    loopMeter.record(() -> steps + " steps of the dispatch loop", System.nanoTime() - startedAt);
     schedule();
   }
 
@@ -484,6 +492,7 @@
     long timeoutAt = action.timeout() == 0 ? answerBy : Math.min(answerBy, now + action.timeout());
     Attempt attempt =
         new Attempt(this, call, call.attempts.size(), action.worker(), now, timeoutAt);
+    countRetry(call);
     call.attempts.add(attempt);
     call.attemptsInFlight++;
     inFlight.merge(action.worker(), 1, Integer::sum);
@@ -496,6 +505,18 @@
     }
   }
 
+  /** Counts a further attempt of a call by the reason for it. */
+  private void countRetry(Call call) {
+    if (call.attemptsInFlight > 0) {
+      counters.add(Count.ATTEMPTS_HEDGED);
+    } else if (!call.attempts.isEmpty()) {
+      Attempt last = call.attempts.get(call.attempts.size() - 1);
+      if (last.outcome() != OutcomeCode.OK) {
+        counters.add(Count.valueOf("RETRIES_AFTER_" + last.outcome()));
+      }
+    }
+  }
+
   private void cancel(Call call, int index) {
     if (call != null && index < call.attempts.size()) {
       transport.cancel(call.attempts.get(index));
--- a/src/main/java/umberrun/front/rpc/RpcConnection.java
+++ b/src/main/java/umberrun/front/rpc/RpcConnection.java
@@ -74,14 +74,14 @@
     this.openedAt = server.now();
     socket.setWriteQueueMaxSize(WRITE_QUEUE_BYTES);
     socket.handler(this::read);
-    socket.closeHandler(v -> close());
-    socket.exceptionHandler(e -> close());
+    socket.closeHandler(v -> close(Count.CLIENTS_CLOSED_BY_PEER));
+    socket.exceptionHandler(e -> close(Count.CLIENTS_CLOSED_ERROR));
     socket.drainHandler(
         v -> {
           socket.resume();
           restartTimeout();
         });
-    await(MESSAGE_TIMEOUT_MILLIS, this::close);
+    await(MESSAGE_TIMEOUT_MILLIS, () -> close(Count.CLIENTS_CLOSED_SILENT));
   }
 
   /**
@@ -106,7 +106,7 @@
     if (awaitsRest) {
       await(MESSAGE_TIMEOUT_MILLIS, this::stopReading);
     } else if (openCalls.isEmpty()) {
-      await(IDLE_TIMEOUT_MILLIS, this::close);
+      await(IDLE_TIMEOUT_MILLIS, () -> close(Count.CLIENTS_CLOSED_IDLE));
     }
   }
 
@@ -128,6 +128,7 @@
    */
   private void stopReading() {
     readingStopped = true;
+    server.counters().add(Count.CLIENTS_CLOSED_INCOMPLETE);
     shutDownIfAnswered();
     server.checkQuiet();
   }
@@ -155,7 +156,7 @@
     } catch (RpcDecoder.Unreadable e) {
       // Malformed input ends this connection only.
       server.counters().add(Count.BAD_REQUESTS);
-      close();
+      close(Count.CLIENTS_CLOSED_MALFORMED);
     }
     // Before the first complete message, the timeout since connecting keeps running.
     if (hasSentMessage) {
@@ -193,13 +194,15 @@
     if (openCalls.containsKey(message.id())) {
       // Two answers with one id could not be told apart.
       server.counters().add(Count.BAD_REQUESTS);
-      close();
+      close(Count.CLIENTS_CLOSED_DUPLICATE_ID);
     } else if (message.method().equals("heartbeat")) {
       write(RpcEncoder.heartbeat(message.id(), server.lifecycle().isHealthy()));
     } else if (!server.lifecycle().acceptsCalls(server.now())) {
       lastCallAt = server.now();
+      server.counters().add(Count.CALLS_REFUSED_LEAVING);
       write(RpcEncoder.refused(message.id(), SHUTDOWN_BACKOFF_MILLIS));
     } else if (openCalls.size() >= MAX_OPEN_REQUESTS) {
+      server.counters().add(Count.CALLS_REFUSED_OPEN_REQUESTS);
       write(RpcEncoder.refused(message.id(), OVERLOAD_BACKOFF_MILLIS));
     } else {
       try {
@@ -308,13 +311,24 @@
                     .shutdownOutput();
                 // Reading goes on in order to notice when the client closes its side.
                 socket.resume();
-                await(LINGER_MILLIS, this::close);
+                await(LINGER_MILLIS, this::endConnection);
               }
             });
   }
 
-  /** Closes the connection and abandons its open calls. */
-  void close() {
+  /**
+   * Closes the connection and abandons its open calls.
+   *
+   * @param reason the counter of the reason
+   */
+  void close(Count reason) {
+    if (!closed && !outputShutDown) {
+      server.counters().add(reason);
+    }
+    endConnection();
+  }
+
+  private void endConnection() {
     if (!closed) {
       closed = true;
       cancelTimeout();
--- a/src/main/java/umberrun/front/rpc/RpcServer.java
+++ b/src/main/java/umberrun/front/rpc/RpcServer.java
@@ -233,8 +233,7 @@
     if (candidates.isEmpty()) {
       return false;
     }
-    counters.add(Count.CLIENTS_DISPLACED);
-    candidates.iterator().next().close();
+    candidates.iterator().next().close(Count.CLIENTS_DISPLACED);
     return true;
   }
 
--- a/src/main/java/umberrun/stats/Counters.java
+++ b/src/main/java/umberrun/stats/Counters.java
@@ -156,7 +156,51 @@
     /** A level: what completed invocations are charged for results, keys and the rest, in bytes. */
     INVOCATION_RESULT_BYTES,
     /** A level: functions that the dispatcher remembers. */
-    FUNCTIONS_REMEMBERED;
+    FUNCTIONS_REMEMBERED,
+    /** A level: the longest turn of the event loop so far, in microseconds. */
+    LOOP_TURN_MAX_MICROS,
+    /** Turns of the event loop of 50 ms or more. */
+    LOOP_TURNS_LONG,
+    /** From here to {@code CLIENTS_CLOSED_DUPLICATE_ID}: why RPC connections were closed. */
+    CLIENTS_CLOSED_BY_PEER,
+    /** Reading or writing failed. */
+    CLIENTS_CLOSED_ERROR,
+    /** No complete first message came in time. */
+    CLIENTS_CLOSED_SILENT,
+    /** The rest of a message did not come in time. */
+    CLIENTS_CLOSED_INCOMPLETE,
+    CLIENTS_CLOSED_IDLE,
+    CLIENTS_CLOSED_MALFORMED,
+    /** A request had the id of an open one. */
+    CLIENTS_CLOSED_DUPLICATE_ID,
+    /** RPC calls refused as this process accepts no more. */
+    CALLS_REFUSED_LEAVING,
+    /** RPC calls refused as their connection has too many open requests. */
+    CALLS_REFUSED_OPEN_REQUESTS,
+    /** From here to {@code RETRIES_AFTER_CANCELLED}: further attempts, by what ended the last. */
+    RETRIES_AFTER_MISS,
+    RETRIES_AFTER_FULL,
+    RETRIES_AFTER_ERROR,
+    RETRIES_AFTER_TIMEOUT,
+    RETRIES_AFTER_RESET,
+    RETRIES_AFTER_CONNECT_FAILED,
+    RETRIES_AFTER_NOT_STARTED,
+    RETRIES_AFTER_CANCELLED,
+    /** Further attempts while an earlier one is in flight. */
+    ATTEMPTS_HEDGED,
+    /** From here to {@code WORKERS_CLOSED_BLOCKED}: why connections to workers were closed. */
+    WORKERS_CLOSED_BY_PEER,
+    WORKERS_CLOSED_ERROR,
+    WORKERS_CLOSED_CONNECT_FAILED,
+    WORKERS_CLOSED_IDLE,
+    /** They carried no more data. */
+    WORKERS_CLOSED_SILENT,
+    WORKERS_CLOSED_INCOMPLETE_REPLY,
+    WORKERS_CLOSED_MALFORMED,
+    /** They were to take no more commands, and all replies had arrived. */
+    WORKERS_CLOSED_RETIRED,
+    /** Unsent commands might have reached a worker that may get nothing new. */
+    WORKERS_CLOSED_BLOCKED;
 
     private final String printedName;
 
--- a/src/main/java/umberrun/SingleLoopTransport.java
+++ b/src/main/java/umberrun/transport/SingleLoopTransport.java
@@ -1,8 +1,10 @@
-package umberrun;
+package umberrun.transport;
 
 import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
 import io.netty.channel.ChannelFactory;
 import io.netty.channel.EventLoopGroup;
+import io.netty.channel.IoHandlerFactory;
 import io.netty.channel.ServerChannel;
 import io.netty.channel.socket.nio.NioChannelOption;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
@@ -12,10 +14,13 @@
 import io.vertx.core.net.NetServerOptions;
 import io.vertx.core.transport.Transport;
 import java.net.StandardSocketOptions;
+import java.nio.channels.ServerSocketChannel;
+import java.nio.channels.SocketChannel;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.ThreadFactory;
 import java.util.concurrent.TimeUnit;
+import umberrun.stats.EventLoopMeter;
 
 /**
  * A transport over Java NIO that uses one event loop for everything, including the accepting of
@@ -27,24 +32,45 @@
  * <p>Listeners can share their address with another process by SO_REUSEPORT, an option that the NIO
  * transport of Vert.x ignores. They can be closed without losing the connections in their queue.
  */
-final class SingleLoopTransport extends NioTransport implements Transport {
+public final class SingleLoopTransport extends NioTransport implements Transport {
+  private final EventLoopMeter meter;
   private EventLoopGroup eventLoopGroup;
   private final List<DrainableListener> listeners = new ArrayList<>();
 
+  /** Creates a transport whose event loop the meter measures. */
+  public SingleLoopTransport(EventLoopMeter meter) {
+    this.meter = meter;
+  }
+
   /** A listening socket that can be closed without resetting the connections in its queue. */
-  private static final class DrainableListener extends NioServerSocketChannel {
+  private final class DrainableListener extends NioServerSocketChannel {
     /**
      * Accepts all queued connections and closes the socket. A socket that is registered with a
      * selector is closed only at the next selection, and until then the system goes on queueing
      * connections, all of which it resets in the end. So the socket is deregistered first; then the
      * queued connections are accepted and the socket is closed with nothing in between.
      */
-    Future<Void> drainAndClose() {
+    private Future<Void> drainAndClose() {
       Promise<Void> closed = Promise.promise();
       deregister().addListener(f -> closeOnceDeregistered(closed));
       return closed.future();
     }
 
+    @Override
+    protected int doReadMessages(List<Object> accepted) throws Exception {
+      SocketChannel socket = javaChannel().accept();
+      if (socket == null) {
+        return 0;
+      }
+      accepted.add(new ScheduledSocketChannel(this, socket, meter));
+      return 1;
+    }
+
+    @Override
+    protected ServerSocketChannel javaChannel() {
+      return (ServerSocketChannel) super.javaChannel();
+    }
+
     private void closeOnceDeregistered(Promise<Void> closed) {
       if (javaChannel().isRegistered()) {
         eventLoop().schedule(() -> closeOnceDeregistered(closed), 1, TimeUnit.MILLISECONDS);
@@ -66,6 +92,17 @@
     }
   }
 
+  @Override
+  public ChannelFactory<? extends Channel> channelFactory(boolean domainSocket) {
+    return () -> new ScheduledSocketChannel(meter);
+  }
+
+  @Override
+  public IoHandlerFactory ioHandlerFactory() {
+    IoHandlerFactory factory = super.ioHandlerFactory();
+    return executor -> new MeteredIoHandler(factory.newHandler(executor), meter);
+  }
+
   @Override
   public ChannelFactory<? extends ServerChannel> serverChannelFactory(boolean domainSocket) {
     return () -> {
@@ -89,7 +126,7 @@
    * go to the other process that listens there. Accepted connections stay open, unlike when a
    * Vert.x server is closed. Completes once all queued connections are accepted.
    */
-  Future<Void> stopListening(int port) {
+  public Future<Void> stopListening(int port) {
     return Future.join(
             listeners.stream()
                 .filter(l -> l.localAddress() != null && l.localAddress().getPort() == port)
--- a/src/main/java/umberrun/worker/WorkerConnection.java
+++ b/src/main/java/umberrun/worker/WorkerConnection.java
@@ -15,6 +15,7 @@
 import java.util.Set;
 import saddlestall.Dispatcher.OutcomeCode;
 import umberrun.core.Clock;
+import umberrun.stats.Counters.Count;
 
 /**
  * One connection to a worker, with the commands that await a reply on it and those that are queued
@@ -33,8 +34,12 @@
     /** New work was failed without being written, as {@link #mayStart} returned false. */
     void onSendWithheld();
 
-    /** The connection has closed and all its commands have ended. */
-    void onClosed(WorkerConnection connection);
+    /**
+     * The connection has closed and all its commands have ended.
+     *
+     * @param reason the counter of the reason
+     */
+    void onClosed(WorkerConnection connection, Count reason);
   }
 
   private static final int MAX_WRITE_QUEUE_BYTES = 64 << 10;
@@ -109,10 +114,10 @@
     socket = connected;
     lastReplyAt = clock.now();
     connected.setWriteQueueMaxSize(MAX_WRITE_QUEUE_BYTES);
-    parser = new RespParser(this::onReply, this::close);
+    parser = new RespParser(this::onReply, () -> close(Count.WORKERS_CLOSED_MALFORMED));
     connected.handler(this::onData);
-    connected.closeHandler(v -> close());
-    connected.exceptionHandler(e -> close());
+    connected.closeHandler(v -> close(Count.WORKERS_CLOSED_BY_PEER));
+    connected.exceptionHandler(e -> close(Count.WORKERS_CLOSED_ERROR));
     connected.drainHandler(v -> flush());
     flush();
     restartIdleTimer();
@@ -137,7 +142,7 @@
               PARTIAL_REPLY_TIMEOUT_MILLIS,
               t -> {
                 partialReplyTimer = -1;
-                close();
+                close(Count.WORKERS_CLOSED_INCOMPLETE_REPLY);
               });
     }
   }
@@ -164,7 +169,7 @@
               t -> {
                 silenceTimer = -1;
                 if (pinged) {
-                  close();
+                  close(Count.WORKERS_CLOSED_SILENT);
                 } else if (awaitingReply.size() >= SILENCE_CHECK_MIN_COMMANDS) {
                   socket.write(PING);
                   startSilenceTimer(true);
@@ -182,7 +187,7 @@
 
   /** Ends the queued commands after the connection could not be opened; none of them has run. */
   void onConnectFailed() {
-    closeWith(OutcomeCode.CONNECT_FAILED);
+    closeWith(OutcomeCode.CONNECT_FAILED, Count.WORKERS_CLOSED_CONNECT_FAILED);
   }
 
   /** Returns the number of commands that are queued or await a reply. */
@@ -250,13 +255,13 @@
     List<PendingCommand> unsent = new ArrayList<>(queued);
     queued.clear();
     unsent.forEach(command -> fail(command, OutcomeCode.NOT_STARTED));
-    closeIfIdle();
+    closeIfIdle(Count.WORKERS_CLOSED_RETIRED);
   }
 
   /** Closes the connection if it has no commands. */
-  void closeIfIdle() {
+  void closeIfIdle(Count reason) {
     if (load() == 0) {
-      close();
+      close(reason);
     }
   }
 
@@ -267,9 +272,13 @@
     return unsent != null && unsent.totalPendingWriteBytes() > 0;
   }
 
-  /** Closes the connection; commands that were written end as reset. */
-  void close() {
-    closeWith(OutcomeCode.RESET);
+  /**
+   * Closes the connection; commands that were written end as reset.
+   *
+   * @param reason the counter of the reason
+   */
+  void close(Count reason) {
+    closeWith(OutcomeCode.RESET, reason);
   }
 
   private ChannelHandlerContext channelContext() {
@@ -354,15 +363,16 @@
     command.onReply(parts);
     restartIdleTimer();
     if (retired) {
-      closeIfIdle();
+      closeIfIdle(Count.WORKERS_CLOSED_RETIRED);
     }
   }
 
   /**
    * @param code the outcome of the commands that were written; the others end as {@code
    *     CONNECT_FAILED}, since they never ran
+   * @param reason the counter of the reason
    */
-  private void closeWith(OutcomeCode code) {
+  private void closeWith(OutcomeCode code, Count reason) {
     if (closed) {
       return;
     }
@@ -382,7 +392,7 @@
     queued.clear();
     sent.forEach(command -> fail(command, code));
     unsent.forEach(command -> fail(command, OutcomeCode.CONNECT_FAILED));
-    listener.onClosed(this);
+    listener.onClosed(this, reason);
   }
 
   private void fail(PendingCommand command, OutcomeCode code) {
@@ -404,7 +414,7 @@
   private void restartIdleTimer() {
     if (load() == 0 && !closed && socket != null && idleMillis > 0) {
       cancelIdleTimer();
-      idleTimer = vertx.setTimer(idleMillis, t -> close());
+      idleTimer = vertx.setTimer(idleMillis, t -> close(Count.WORKERS_CLOSED_IDLE));
     }
   }
 
--- a/src/main/java/umberrun/worker/WorkerPool.java
+++ b/src/main/java/umberrun/worker/WorkerPool.java
@@ -148,12 +148,13 @@
       if (!mayStart(clock.now())) {
         List.copyOf(connections).stream()
             .filter(WorkerConnection::hasUnsentBytes)
-            .forEach(WorkerConnection::close);
+            .forEach(connection -> connection.close(Count.WORKERS_CLOSED_BLOCKED));
       }
     }
 
     @Override
-    public void onClosed(WorkerConnection connection) {
+    public void onClosed(WorkerConnection connection, Count reason) {
+      counters.add(reason);
       connectionLimits.release(Purpose.WORKERS);
       connections.remove(connection);
       removeIfGone();
@@ -196,7 +197,7 @@
             .flatMap(worker -> worker.connections.stream())
             .filter(WorkerConnection::isIdle)
             .min(Comparator.comparingLong(WorkerConnection::lastReplyAt))
-            .ifPresent(WorkerConnection::close);
+            .ifPresent(connection -> connection.close(Count.WORKERS_CLOSED_IDLE));
       }
       return connectionLimits.tryAcquire(Purpose.WORKERS);
     }
@@ -416,7 +417,8 @@
   public void closeIdle(int workerId) {
     Worker worker = workers.get(workerId);
     if (worker != null) {
-      List.copyOf(worker.connections).forEach(WorkerConnection::closeIfIdle);
+      List.copyOf(worker.connections)
+          .forEach(connection -> connection.closeIfIdle(Count.WORKERS_CLOSED_IDLE));
     }
   }
 
--- a/src/test/java/umberrun/FloodClients.java
+++ b/src/test/java/umberrun/FloodClients.java
@@ -67,7 +67,8 @@
         socket.connect(new InetSocketAddress(InetAddress.getLoopbackAddress(), port));
         sockets.add(socket);
         if (reads) {
-          Scenario.daemon(() -> socket.getInputStream().transferTo(OutputStream.nullOutputStream()));
+          Scenario.daemon(
+              () -> socket.getInputStream().transferTo(OutputStream.nullOutputStream()));
         }
         for (long id = 1; !closed; id += MESSAGES_PER_WRITE) {
           socket.getOutputStream().write(batch(kind, id));
--- a/src/test/java/umberrun/MessageFloodIT.java
+++ b/src/test/java/umberrun/MessageFloodIT.java
@@ -110,6 +110,11 @@
               longestMicros.get() / 1_000,
               peakKb(node) >> 10);
       System.err.println("flood: " + result);
+      if (Boolean.getBoolean("flood.log")) {
+        new ProcessBuilder("kill", "-USR2", Long.toString(node.process.pid())).start().waitFor();
+        Thread.sleep(500);
+        System.err.println(Files.readString(node.log));
+      }
       assertTrue("the process has ended: " + result, node.process.isAlive());
       assertEquals(result, 0, late.get());
       assertEquals(result, List.of(), List.copyOf(fleet.faults));
--- a/src/test/java/umberrun/worker/WorkerPoolTest.java
+++ b/src/test/java/umberrun/worker/WorkerPoolTest.java
@@ -27,6 +27,7 @@
 import umberrun.core.Endpoint;
 import umberrun.core.WorkerLeaseView;
 import umberrun.stats.Counters;
+import umberrun.stats.Counters.Count;
 
 /** Tests of the connections to the workers and of the parser of their replies. */
 public class WorkerPoolTest {
@@ -132,7 +133,7 @@
                       }
 
                       @Override
-                      public void onClosed(WorkerConnection closed) {}
+                      public void onClosed(WorkerConnection closed, Count reason) {}
                     },
                     60_000);
             vertx
@@ -143,7 +144,7 @@
                       connection.onConnected(s);
                       connection.submit(command(bytes, outcome));
                       assertTrue(connection.hasUnsentBytes());
-                      connection.close();
+                      connection.close(Count.WORKERS_CLOSED_BLOCKED);
                     });
           });
       try (Socket s = worker.accept()) {
