Connections read in turns, so that no client's messages delay the others

Callers saw: while one client sent small messages at full speed, of whatever kind, others got their answers late or never, and discovery counted as out of reach.

Cause: all sockets share one event loop, which handled whatever a connection had to read, up to 16 times 64 KiB in a row, before the next one. No connection had a share. Evidence: turns of 0.2 to 1.7 s by the new meter, filled with reads of the flooding connections; heartbeats, which never reach the decision module, delayed as much as calls.

Change: a connection reads only in its turn (umberrun.transport): start-time fair queueing by the time that its bytes have taken, steps of the dispatch loop included, first among listeners and outbound connections, then among the connections of each. A quantum is so many bytes as take 0.5 ms, 0.5 to 16 KiB; nothing is read while more than 32 steps are queued. This holds for both fronts, replies of workers, discovery, peers and the operators' interface, as all their sockets come from the one transport, and knows no kind of message. What is not read stays with the system, 64 KiB for a connection. RPC calls are held until all that their client has sent is read, so a call that is revoked, or whose client has gone, is not submitted; held and partly received messages are within a twenty-fourth of the memory. Answers are written together.

WorkerPoolTest builds its Vert.x on the same transport as the program; CrossingsTest is unchanged.

--- a/src/main/java/umberrun/Server.java
+++ b/src/main/java/umberrun/Server.java
@@ -27,6 +27,7 @@
 import sun.misc.SignalHandler;
 import umberrun.admission.AnswerBudget;
 import umberrun.admission.ConnectionLimits;
+import umberrun.admission.InputBudget;
 import umberrun.config.Config;
 import umberrun.config.Config.InvalidConfig;
 import umberrun.config.OperatorFile;
@@ -43,6 +44,7 @@
 import umberrun.stats.Counters;
 import umberrun.stats.Counters.Count;
 import umberrun.stats.EventLoopMeter;
+import umberrun.transport.ReadScheduler;
 import umberrun.transport.SingleLoopTransport;
 import umberrun.worker.WorkerPool;
 import umberrun.workerlist.ChangeLogSource;
@@ -113,7 +115,8 @@
   private final Lifecycle lifecycle;
   private final ConnectionLimits connectionLimits;
   private final EventLoopMeter loopMeter = new EventLoopMeter(counters, Server::log);
-  private final SingleLoopTransport transport = new SingleLoopTransport(loopMeter);
+  private final ReadScheduler readScheduler = new ReadScheduler(loopMeter);
+  private final SingleLoopTransport transport = new SingleLoopTransport(readScheduler);
   private final Path sharedFolder;
 
   /** The handover to and from other processes, or null if there is no shared folder. */
@@ -384,6 +387,7 @@
                     config.names(),
                     connectionLimits,
                     loop));
+    readScheduler.setBacklogged(dispatchLoop::isBacklogged);
     OperatorFile operatorFile = config.operatorFile();
     if (changeLogAddress != null && (operatorFile == null || !operatorFile.listsWorkers())) {
       changeLog =
@@ -403,7 +407,8 @@
             lifecycle,
             clock,
             connectionLimits,
-            answerBudget);
+            answerBudget,
+            new InputBudget(config.inputBytes(), connectionLimits));
     if (operatorFile != null && operatorFile.invoke() != null) {
       invocations =
           new InvocationRegistry(vertx, clock, dispatchLoop, counters, operatorFile.deferred());
--- a/src/main/java/umberrun/config/Config.java
+++ b/src/main/java/umberrun/config/Config.java
@@ -90,6 +90,9 @@
   /** Pending answers to slow clients may use one part in this many of the memory. */
   private static final int ANSWER_MEMORY_DIVISOR = 12;
 
+  /** What was received of clients and is not submitted may use one part in this many. */
+  private static final int INPUT_MEMORY_DIVISOR = 24;
+
   /**
    * Reads the configuration from the environment variables and the files that they name.
    *
@@ -180,6 +183,11 @@
     return ((long) memoryMb << 20) / ANSWER_MEMORY_DIVISOR;
   }
 
+  /** Returns how many bytes received of clients may wait to be submitted, in total. */
+  public long inputBytes() {
+    return ((long) memoryMb << 20) / INPUT_MEMORY_DIVISOR;
+  }
+
   /**
    * Parses an address of the form host:port.
    *
--- a/src/main/java/umberrun/core/DispatchLoop.java
+++ b/src/main/java/umberrun/core/DispatchLoop.java
@@ -93,9 +93,17 @@
   /** With a larger lag no calls are accepted, as they could not be answered in time. */
   private static final long MAX_LAG_MICROS = 150_000;
 
+  /** With more queued steps nothing more is read, so that the steps of what was read come first. */
+  private static final int MAX_QUEUED_STEPS = 32;
+
   /** With a larger lag, pending socket input is read before calls are started. */
   private static final long LOW_LAG_MICROS = 50_000;
 
+  /**
+   * A step and who is charged for it: the connection whose input, or whose earlier step, led to it.
+   */
+  private record QueuedStep(Runnable step, EventLoopMeter.Account account) {}
+
   private final Vertx vertx;
   private final Context context;
   private final Clock clock;
@@ -105,7 +113,7 @@
   private final EventLoopMeter loopMeter;
   private final Dispatcher dispatcher;
   private final WorkerTransport transport;
-  private final ArrayDeque<Runnable> queue = new ArrayDeque<>();
+  private final ArrayDeque<QueuedStep> queue = new ArrayDeque<>();
   private final ArrayDeque<Action> actions = new ArrayDeque<>();
   private final Map<Integer, Call> calls = new HashMap<>();
 
@@ -228,10 +236,15 @@
 
   /** Queues a step. To be called on the thread of the context only, which also runs all sockets. */
   public void post(Runnable step) {
-    queue.add(step);
+    queue.add(new QueuedStep(step, loopMeter.current()));
     schedule();
   }
 
+  /** Whether so many steps are queued that nothing more should be read before they have run. */
+  public boolean isBacklogged() {
+    return queue.size() > MAX_QUEUED_STEPS;
+  }
+
   /** Queues a step; the future completes with its result. */
   private <T> Future<T> supplyInTurn(Supplier<T> step) {
     Promise<T> done = Promise.promise();
@@ -262,23 +275,25 @@
 
   private void runQueuedSteps() {
     scheduled = false;
-    long startedAt = System.nanoTime();
-    int steps = queue.size();
     // Steps queued meanwhile wait for the next run, so that the sockets get their turn.
-    for (int n = steps; n > 0; n--) {
-      try {
-        queue.poll().run();
-      } catch (RuntimeException e) {
-        // A fault in one step must not end all calls.
-        counters.add(Count.DISPATCH_LOOP_EXCEPTIONS);
-        log.accept(
-            "fault: " + e + " at " + (e.getStackTrace().length > 0 ? e.getStackTrace()[0] : "?"));
-      }
+    for (int n = queue.size(); n > 0; n--) {
+      QueuedStep next = queue.poll();
+      loopMeter.run(next.account, () -> runStep(next.step));
     }
-    loopMeter.record(() -> steps + " steps of the dispatch loop", System.nanoTime() - startedAt);
     schedule();
   }
 
+  private void runStep(Runnable step) {
+    try {
+      step.run();
+    } catch (RuntimeException e) {
+      // A fault in one step must not end all calls.
+      counters.add(Count.DISPATCH_LOOP_EXCEPTIONS);
+      log.accept(
+          "fault: " + e + " at " + (e.getStackTrace().length > 0 ? e.getStackTrace()[0] : "?"));
+    }
+  }
+
   private void dispatch(Event event) {
     try {
       dispatcher.handle(clock.now(), event, actions::add);
--- a/src/main/java/umberrun/core/Request.java
+++ b/src/main/java/umberrun/core/Request.java
@@ -39,6 +39,11 @@
     public static final ResourceHints NONE = new ResourceHints(1, 0, 0);
   }
 
+  /** This request for a client that has waited for some microseconds already. */
+  public Request afterWaiting(long micros) {
+    return withBudget(Math.max(1, budget - micros));
+  }
+
   /** This request with another budget, in microseconds. */
   Request withBudget(long remaining) {
     return new Request(
--- a/src/main/java/umberrun/front/rpc/RpcConnection.java
+++ b/src/main/java/umberrun/front/rpc/RpcConnection.java
@@ -11,6 +11,7 @@
 import umberrun.core.Request;
 import umberrun.front.CallFields.InvalidField;
 import umberrun.stats.Counters.Count;
+import umberrun.transport.ConnectionInput;
 
 /** A client's connection with its open requests, which may be answered in any order. */
 final class RpcConnection {
@@ -31,6 +32,15 @@
   /** A connection without an open request is closed after this; clients close theirs after 4 s. */
   private static final long IDLE_TIMEOUT_MILLIS = 5_000;
 
+  /** A message of this size or more is written by itself instead of with others. */
+  private static final int MAX_BATCHED_BYTES = 8 << 10;
+
+  /**
+   * A request that is held for this long is refused: its client sends more than its share of the
+   * event loop lets this process read.
+   */
+  private static final long HELD_TIMEOUT_MILLIS = 200;
+
   /** After its output is shut down, a connection is closed by the client, or here after this. */
   private static final long LINGER_MILLIS = 1_000;
 
@@ -39,6 +49,23 @@
 
   private final RpcServer server;
   private final NetSocket socket;
+  private final ConnectionInput input;
+  private final HeldRequests heldRequests;
+
+  /** Messages that are written together after the current work. */
+  private Buffer outgoing = Buffer.buffer();
+
+  private boolean flushScheduled;
+
+  /** Bytes that wait to be sent, {@link #outgoing} included. */
+  private long queuedBytes;
+
+  /** Memory charged for the received part of a message, in bytes. */
+  private int chargedPartBytes;
+
+  /** The timer that refuses requests that were held for too long, or -1. */
+  private long heldTimer = -1;
+
   private final RpcDecoder decoder = new RpcDecoder(this::handleMessage);
   private final Map<Long, Call> openCalls = new HashMap<>();
   private final long openedAt;
@@ -71,16 +98,13 @@
   RpcConnection(RpcServer server, NetSocket socket) {
     this.server = server;
     this.socket = socket;
+    this.input = ConnectionInput.of(socket);
+    this.heldRequests = new HeldRequests(server.inputBudget());
     this.openedAt = server.now();
     socket.setWriteQueueMaxSize(WRITE_QUEUE_BYTES);
     socket.handler(this::read);
     socket.closeHandler(v -> close(Count.CLIENTS_CLOSED_BY_PEER));
     socket.exceptionHandler(e -> close(Count.CLIENTS_CLOSED_ERROR));
-    socket.drainHandler(
-        v -> {
-          socket.resume();
-          restartTimeout();
-        });
     await(MESSAGE_TIMEOUT_MILLIS, () -> close(Count.CLIENTS_CLOSED_SILENT));
   }
 
@@ -89,7 +113,12 @@
    * partly received, and the write queue is not full. Fewer bytes may still wait to be sent.
    */
   boolean isIdle() {
-    return openCalls.isEmpty() && !decoder.isMidMessage() && !socket.writeQueueFull();
+    return openRequests() == 0 && !decoder.isMidMessage() && !socket.writeQueueFull();
+  }
+
+  /** The number of requests that are held or submitted, and not answered. */
+  private int openRequests() {
+    return openCalls.size() + heldRequests.size();
   }
 
   /**
@@ -104,8 +133,8 @@
     cancelTimeout();
     awaitsRest = decoder.isMidMessage();
     if (awaitsRest) {
-      await(MESSAGE_TIMEOUT_MILLIS, this::stopReading);
-    } else if (openCalls.isEmpty()) {
+      await(MESSAGE_TIMEOUT_MILLIS, this::onRestMissing);
+    } else if (openRequests() == 0) {
       await(IDLE_TIMEOUT_MILLIS, () -> close(Count.CLIENTS_CLOSED_IDLE));
     }
   }
@@ -122,19 +151,38 @@
                 });
   }
 
+  /** Called when the rest of a message was not read in time. */
+  private void onRestMissing() {
+    boolean hasArrived = !input.isDrained() && !socket.writeQueueFull();
+    if (hasArrived) {
+      awaitsRest = false;
+      restartTimeout();
+    } else {
+      stopReading(Count.CLIENTS_CLOSED_INCOMPLETE);
+    }
+  }
+
   /**
-   * Called when the rest of a message does not arrive. The calls received before it are answered
-   * before the connection is closed.
+   * Stops reading in the middle of a message. The calls received before it are answered before the
+   * connection is closed.
+   *
+   * @param reason the counter of the reason
    */
-  private void stopReading() {
+  void stopReading(Count reason) {
     readingStopped = true;
-    server.counters().add(Count.CLIENTS_CLOSED_INCOMPLETE);
+    decoder.releaseBuffer();
+    chargePart();
+    cancelTimeout();
+    server.counters().add(reason);
+    if (input.isDrained()) {
+      submitHeld();
+    }
     shutDownIfAnswered();
     server.checkQuiet();
   }
 
   private void shutDownIfAnswered() {
-    if (readingStopped && openCalls.isEmpty()) {
+    if (readingStopped && openRequests() == 0) {
       shutDownOutput();
     }
   }
@@ -157,7 +205,15 @@
       // Malformed input ends this connection only.
       server.counters().add(Count.BAD_REQUESTS);
       close(Count.CLIENTS_CLOSED_MALFORMED);
+      return;
+    }
+    // What is held of a client that has gone is dropped when the connection is closed, which is
+    // next.
+    if (input.isDrained() && !input.hasEnded()) {
+      submitHeld();
     }
+    flush();
+    chargePart();
     // Before the first complete message, the timeout since connecting keeps running.
     if (hasSentMessage) {
       restartTimeout();
@@ -165,9 +221,19 @@
     server.checkQuiet();
   }
 
-  /** Whether the rest of a message is still awaited. */
-  boolean isMidMessage() {
-    return !closed && !outputShutDown && !readingStopped && decoder.isMidMessage();
+  /** Charges the memory for the received part of a message. */
+  private void chargePart() {
+    int bytes = closed ? 0 : decoder.bufferedBytes();
+    server.updatePart(this, bytes - chargedPartBytes, bytes > 0);
+    chargedPartBytes = bytes;
+  }
+
+  /** Whether the rest of a message is still awaited, or input is there that is not read yet. */
+  boolean hasPendingInput() {
+    return !closed
+        && !outputShutDown
+        && !readingStopped
+        && (decoder.isMidMessage() || !input.isDrained());
   }
 
   private void handleMessage(RpcMessage message) {
@@ -181,6 +247,9 @@
     } else if (message instanceof RpcMessage.Notification notification
         && notification.method().equals("revoke")) {
       for (long id : notification.ids()) {
+        if (heldRequests.remove(id)) {
+          server.countAbandonedUnsubmitted();
+        }
         Call call = openCalls.remove(id);
         // An id that is unknown or already answered is ignored.
         if (call != null) {
@@ -191,7 +260,7 @@
   }
 
   private void handleRequest(RpcMessage.Request message) {
-    if (openCalls.containsKey(message.id())) {
+    if (openCalls.containsKey(message.id()) || heldRequests.contains(message.id())) {
       // Two answers with one id could not be told apart.
       server.counters().add(Count.BAD_REQUESTS);
       close(Count.CLIENTS_CLOSED_DUPLICATE_ID);
@@ -201,18 +270,12 @@
       lastCallAt = server.now();
       server.counters().add(Count.CALLS_REFUSED_LEAVING);
       write(RpcEncoder.refused(message.id(), SHUTDOWN_BACKOFF_MILLIS));
-    } else if (openCalls.size() >= MAX_OPEN_REQUESTS) {
+    } else if (openRequests() >= MAX_OPEN_REQUESTS) {
       server.counters().add(Count.CALLS_REFUSED_OPEN_REQUESTS);
       write(RpcEncoder.refused(message.id(), OVERLOAD_BACKOFF_MILLIS));
     } else {
       try {
-        Request request = server.toRequest(message);
-        // Workers could not tell apart two calls with one request id.
-        if (server.dispatchLoop().isInFlight(request.requestId())) {
-          throw new InvalidField("rid is that of a request in hand");
-        }
-        lastCallAt = server.now();
-        openCalls.put(message.id(), server.dispatchLoop().submit(request, reply(message.id())));
+        hold(message.id(), server.toRequest(message));
       } catch (InvalidField e) {
         server.counters().add(Count.BAD_REQUESTS);
         write(RpcEncoder.failed(message.id(), "Invalid", e.getMessage()));
@@ -220,6 +283,59 @@
     }
   }
 
+  /** Holds a request until all that its client has sent is read. */
+  private void hold(long id, Request request) {
+    lastCallAt = server.now();
+    if (!heldRequests.add(id, request, lastCallAt)) {
+      refuseUnread(id);
+    } else if (heldTimer < 0 && !input.isDrained()) {
+      heldTimer = server.vertx().setTimer(HELD_TIMEOUT_MILLIS, t -> onHeldTimeout());
+    }
+  }
+
+  private void submitHeld() {
+    cancelHeldTimer();
+    for (HeldRequests.Held held : heldRequests.takeReadUntil(Long.MAX_VALUE)) {
+      submit(held);
+    }
+  }
+
+  private void submit(HeldRequests.Held held) {
+    // Workers could not tell apart two calls with one request id.
+    if (server.dispatchLoop().isInFlight(held.request().requestId())) {
+      server.counters().add(Count.BAD_REQUESTS);
+      write(RpcEncoder.failed(held.id(), "Invalid", "rid is that of a request in hand"));
+      return;
+    }
+    Request request =
+        held.request().afterWaiting(server.now() - held.readAt() + input.waitedMicros());
+    openCalls.put(held.id(), server.dispatchLoop().submit(request, reply(held.id())));
+  }
+
+  private void cancelHeldTimer() {
+    if (heldTimer >= 0) {
+      server.vertx().cancelTimer(heldTimer);
+      heldTimer = -1;
+    }
+  }
+
+  /** Refuses the requests that were held for too long. */
+  private void onHeldTimeout() {
+    heldTimer = -1;
+    long heldSince = server.now() - 1_000 * HELD_TIMEOUT_MILLIS;
+    heldRequests.takeReadUntil(heldSince).forEach(held -> refuseUnread(held.id()));
+    if (heldRequests.size() > 0) {
+      heldTimer = server.vertx().setTimer(HELD_TIMEOUT_MILLIS, t -> onHeldTimeout());
+    }
+    restartTimeout();
+    shutDownIfAnswered();
+  }
+
+  private void refuseUnread(long id) {
+    server.counters().add(Count.CALLS_REFUSED_UNREAD);
+    write(RpcEncoder.refused(id, OVERLOAD_BACKOFF_MILLIS));
+  }
+
   private Reply reply(long id) {
     return new Reply() {
       @Override
@@ -253,32 +369,87 @@
     }
   }
 
+  /** Sends a message, together with others that are sent soon after. */
+  private void write(Buffer message) {
+    if (closed) {
+      return;
+    }
+    server.addQueuedBytes(message.length());
+    queuedBytes += message.length();
+    if (message.length() >= MAX_BATCHED_BYTES) {
+      flush();
+      send(message);
+    } else {
+      outgoing.appendBuffer(message);
+      scheduleFlush();
+    }
+  }
+
+  private void scheduleFlush() {
+    if (!flushScheduled) {
+      flushScheduled = true;
+      server
+          .vertx()
+          .runOnContext(
+              v -> {
+                flushScheduled = false;
+                flush();
+              });
+    }
+  }
+
+  private void flush() {
+    if (outgoing.length() > 0 && !closed) {
+      Buffer messages = outgoing;
+      outgoing = Buffer.buffer();
+      send(messages);
+    }
+  }
+
   /**
-   * Sends a message. Reading pauses while the client does not receive its answers, so that they
-   * cannot accumulate here.
+   * Passes bytes on to the socket. Reading pauses while the client does not receive its answers, so
+   * that they cannot accumulate here.
    */
-  private void write(Buffer message) {
-    if (!closed) {
-      server.addQueuedBytes(message.length());
-      socket.write(message).onComplete(v -> server.addQueuedBytes(-message.length()));
-      if (socket.writeQueueFull()) {
-        socket.pause();
-      }
+  private void send(Buffer messages) {
+    socket.write(messages).onComplete(v -> onSent(messages.length()));
+    if (isOutputCrowded()) {
+      input.pause();
+    }
+  }
+
+  private void onSent(int bytes) {
+    queuedBytes -= bytes;
+    server.addQueuedBytes(-bytes);
+    if (!isOutputCrowded()) {
+      input.resume();
     }
   }
 
+  /**
+   * Whether too much waits to be sent on this connection. Where the answers of all connections
+   * together take much memory, that is so as long as anything waits on it.
+   */
+  private boolean isOutputCrowded() {
+    return socket.writeQueueFull() || queuedBytes > 0 && !server.hasRoomFor(0);
+  }
+
   /**
    * Shuts down the connection during a drain if it is idle, or if it has been busy for too long;
-   * its open calls then fail. Must only be called from a timer: the event loop reads all received
-   * data before it runs timers, whereas a call may be unread at the time an answer is written.
+   * its open calls then fail. What has arrived is read before: a call may be unread although the
+   * connection is idle.
    */
   void shutDownIfDue() {
     long now = server.now();
+    if (isIdle() && server.lifecycle().closesIdleConnections(now)) {
+      input.readNow();
+    }
     if (closed || outputShutDown) {
       return;
     }
     if (server.lifecycle().closesBusyConnection(now, lastCallAt)) {
       server.counters().add(Count.BUSY_CLIENTS_CLOSED);
+      heldRequests.takeReadUntil(Long.MAX_VALUE).forEach(held -> refuseUnread(held.id()));
+      cancelHeldTimer();
       Map<Long, Call> aborted = new HashMap<>(openCalls);
       openCalls.clear();
       aborted.forEach(
@@ -289,6 +460,7 @@
       shutDownOutput();
     } else if (server.lifecycle().closesIdleConnections(now)
         && isIdle()
+        && input.isDrained()
         && (hasSentMessage || now - openedAt > FIRST_MESSAGE_MICROS)) {
       shutDownOutput();
     }
@@ -299,18 +471,21 @@
    * still sends would reset the connection, and the client would lose answers not yet read.
    */
   private void shutDownOutput() {
+    flush();
     outputShutDown = true;
     server.counters().add(Count.CLIENT_CONNECTIONS_SHUT_DOWN);
     cancelTimeout();
+    // A client that does not read its answers would hold the connection for ever.
+    await(IDLE_TIMEOUT_MILLIS, this::endConnection);
     socket
         .write(Buffer.buffer())
         .onComplete(
             v -> {
               if (!closed) {
-                ((DuplexChannel) ((NetSocketInternal) socket).channelHandlerContext().channel())
-                    .shutdownOutput();
+                channel().shutdownOutput();
                 // Reading goes on in order to notice when the client closes its side.
-                socket.resume();
+                input.resume();
+                cancelTimeout();
                 await(LINGER_MILLIS, this::endConnection);
               }
             });
@@ -329,13 +504,29 @@
   }
 
   private void endConnection() {
-    if (!closed) {
-      closed = true;
-      cancelTimeout();
-      socket.close();
-      openCalls.values().forEach(server.dispatchLoop()::abandon);
-      openCalls.clear();
-      server.remove(this);
+    if (closed) {
+      return;
     }
+    flush();
+    closed = true;
+    cancelTimeout();
+    cancelHeldTimer();
+    // Closes the Netty channel directly, since NetSocket.close() waits until all is written, which
+    // a client that does not read would put off for ever.
+    channel().close();
+    heldRequests.takeReadUntil(Long.MAX_VALUE).forEach(held -> server.countAbandonedUnsubmitted());
+    openCalls.values().forEach(server.dispatchLoop()::abandon);
+    openCalls.clear();
+    chargePart();
+    server.remove(this);
+  }
+
+  /** Reads what has arrived, out of turn. */
+  void readNow() {
+    input.readNow();
+  }
+
+  private DuplexChannel channel() {
+    return (DuplexChannel) ((NetSocketInternal) socket).channelHandlerContext().channel();
   }
 }
--- a/src/main/java/umberrun/front/rpc/RpcDecoder.java
+++ b/src/main/java/umberrun/front/rpc/RpcDecoder.java
@@ -27,6 +27,12 @@
   private static final int MAX_STRING_BYTES = 4 << 10;
   private static final int MAX_FIELDS = 64;
   private static final int MAX_PARAMETERS = 64;
+  private static final int MAX_BUFFER_BYTES = MAX_HEADER_BYTES + CallFields.MAX_BODY_BYTES;
+
+  /** A buffer of which less than one part in this many is used is replaced by a smaller one. */
+  private static final int MIN_USED_DIVISOR = 4;
+
+  private static final byte[] NO_BYTES = {};
 
   /** Thrown when the stream is malformed and cannot be read any further. */
   static final class Unreadable extends Exception {
@@ -39,8 +45,11 @@
 
   private final Consumer<RpcMessage> messages;
 
-  /** Received bytes of an incomplete message. */
-  private Buffer pending = Buffer.buffer();
+  /** Received bytes that are not decoded yet lie between {@code start} and {@code end}. */
+  private byte[] buffer = NO_BYTES;
+
+  private int start;
+  private int end;
 
   /** Number of bytes needed before another attempt to read the pending message makes sense. */
   private int needed;
@@ -55,50 +64,84 @@
 
   /** Processes the next bytes of the stream. */
   void feed(Buffer chunk) throws Unreadable {
-    if (bytesToSkip > 0 && chunk.length() <= bytesToSkip) {
-      bytesToSkip -= chunk.length();
-      return;
-    }
-    byte[] bytes = (pending.length() == 0 ? chunk : pending.appendBuffer(chunk)).getBytes();
-    int position = (int) bytesToSkip;
-    bytesToSkip = 0;
-    while (position < bytes.length && bytes.length - position >= needed) {
-      int used = decodeMessage(bytes, position);
+    int skipped = (int) Math.min(bytesToSkip, chunk.length());
+    bytesToSkip -= skipped;
+    append(chunk, skipped);
+    while (start < end && end - start >= needed) {
+      int used = decodeMessage(buffer, start, end);
       if (used == 0) {
         break;
       }
-      position += used;
-      if (position > bytes.length) {
-        bytesToSkip = position - bytes.length;
-        position = bytes.length;
-      }
+      bytesToSkip = Math.max(0, (long) used - (end - start));
+      start = Math.min(end, start + used);
     }
-    pending = Buffer.buffer(Arrays.copyOfRange(bytes, position, bytes.length));
     // Bounds the memory for a message header without an end.
-    if (pending.length() > MAX_HEADER_BYTES + CallFields.MAX_BODY_BYTES) {
+    if (end - start > MAX_HEADER_BYTES + CallFields.MAX_BODY_BYTES) {
       throw new Unreadable("message too long");
     }
+    if (start == end) {
+      releaseBuffer();
+    } else if (MIN_USED_DIVISOR * (end - start) < buffer.length) {
+      compact();
+    }
+  }
+
+  /** Moves the bytes that wait to a buffer of their size. */
+  private void compact() {
+    buffer = Arrays.copyOfRange(buffer, start, end);
+    end -= start;
+    start = 0;
+  }
+
+  /** Appends the bytes of a chunk from an offset on, after those that wait to be decoded. */
+  private void append(Buffer chunk, int offset) {
+    int added = chunk.length() - offset;
+    int pending = end - start;
+    if (end + added > buffer.length) {
+      // A body whose length is known gets room at once, so that its chunks are not copied again.
+      int capacity = Math.max(pending + added, Math.min(needed, MAX_BUFFER_BYTES));
+      byte[] larger = new byte[Math.max(capacity, Math.min(2 * pending, MAX_BUFFER_BYTES))];
+      System.arraycopy(buffer, start, larger, 0, pending);
+      buffer = larger;
+      start = 0;
+      end = pending;
+    }
+    chunk.getBytes(offset, chunk.length(), buffer, end);
+    end += added;
   }
 
   /** Whether part of a message has been received, but not all of it. */
   boolean isMidMessage() {
-    return bytesToSkip > 0 || pending.length() > 0;
+    return bytesToSkip > 0 || start < end;
+  }
+
+  /** The memory that the received part of a message takes, in bytes. */
+  int bufferedBytes() {
+    return buffer.length;
+  }
+
+  /** Gives up the received part of a message. */
+  void releaseBuffer() {
+    buffer = NO_BYTES;
+    start = 0;
+    end = 0;
+    needed = 0;
   }
 
   /**
    * Decodes the message at a position.
    *
+   * @param limit where the received bytes end
    * @return the length of the message, or 0 if it is incomplete; the length may exceed the received
    *     bytes if the rest is to be discarded
    */
-  private int decodeMessage(byte[] bytes, int position) throws Unreadable {
+  private int decodeMessage(byte[] bytes, int position, int limit) throws Unreadable {
     needed = 0;
-    try (MessageUnpacker in =
-        MessagePack.newDefaultUnpacker(bytes, position, bytes.length - position)) {
+    try (MessageUnpacker in = MessagePack.newDefaultUnpacker(bytes, position, limit - position)) {
       int size = in.unpackArrayHeader();
       int type = in.unpackInt();
       if (type == REQUEST && size == 4) {
-        return decodeRequest(in, bytes.length - position);
+        return decodeRequest(in, limit - position);
       } else if (type == NOTIFICATION && size == 3) {
         messages.accept(decodeNotification(in));
         return (int) in.getTotalReadBytes();
--- a/src/main/java/umberrun/front/rpc/RpcEncoder.java
+++ b/src/main/java/umberrun/front/rpc/RpcEncoder.java
@@ -12,11 +12,17 @@
   private static final int REQUEST = 0;
   private static final int RESPONSE = 1;
 
+  /** The initial size of the buffer for a message; most messages are short. */
+  private static final int BUFFER_BYTES = 256;
+
   /** Writes part of a message. */
   private interface Writer {
     void writeTo(MessageBufferPacker out) throws IOException;
   }
 
+  private static final MessagePack.PackerConfig PACKER =
+      new MessagePack.PackerConfig().withBufferSize(BUFFER_BYTES);
+
   private RpcEncoder() {}
 
   /** The response to a call that a worker served. */
@@ -88,7 +94,7 @@
   }
 
   private static Buffer message(int type, long id, Writer rest) {
-    try (MessageBufferPacker out = MessagePack.newDefaultBufferPacker()) {
+    try (MessageBufferPacker out = PACKER.newBufferPacker()) {
       out.packArrayHeader(4).packInt(type).packLong(id);
       rest.writeTo(out);
       return Buffer.buffer(out.toByteArray());
--- a/src/main/java/umberrun/front/rpc/RpcServer.java
+++ b/src/main/java/umberrun/front/rpc/RpcServer.java
@@ -16,6 +16,7 @@
 import umberrun.admission.AnswerBudget;
 import umberrun.admission.ConnectionLimits;
 import umberrun.admission.ConnectionLimits.Purpose;
+import umberrun.admission.InputBudget;
 import umberrun.config.Config.SettingNames;
 import umberrun.core.Clock;
 import umberrun.core.DispatchLoop;
@@ -50,6 +51,7 @@
   private final Clock clock;
   private final ConnectionLimits connectionLimits;
   private final AnswerBudget answerBudget;
+  private final InputBudget inputBudget;
 
   /** Bytes of answers that wait to be sent to clients. */
   private long queuedBytes;
@@ -62,6 +64,9 @@
   /** Connections with a message but no open request, the one idle for longest first. */
   private final Set<RpcConnection> idle = new LinkedHashSet<>();
 
+  /** Connections with a part of a message, the one whose part came first before the others. */
+  private final Set<RpcConnection> withPart = new LinkedHashSet<>();
+
   private Runnable whenEmpty;
   private Runnable whenQuiet;
 
@@ -69,6 +74,7 @@
    * Creates the server.
    *
    * @param answerBudget limits the answers that wait to be sent
+   * @param inputBudget limits what was received and is not submitted
    */
   public RpcServer(
       Vertx vertx,
@@ -78,8 +84,10 @@
       Lifecycle lifecycle,
       Clock clock,
       ConnectionLimits connectionLimits,
-      AnswerBudget answerBudget) {
+      AnswerBudget answerBudget,
+      InputBudget inputBudget) {
     this.answerBudget = answerBudget;
+    this.inputBudget = inputBudget;
     this.vertx = vertx;
     this.lifecycle = lifecycle;
     this.clock = clock;
@@ -149,9 +157,29 @@
     checkQuiet();
   }
 
-  /** Whether no answer waits to be sent and no message is partly received. */
+  InputBudget inputBudget() {
+    return inputBudget;
+  }
+
+  /**
+   * Changes what is charged for the received part of a message. Where there is no room, the
+   * connections that have waited for longest for the rest of theirs are given up.
+   */
+  void updatePart(RpcConnection connection, int bytes, boolean hasPart) {
+    inputBudget.charge(bytes);
+    if (!hasPart) {
+      withPart.remove(connection);
+      return;
+    }
+    withPart.add(connection);
+    while (!inputBudget.hasRoomFor(0) && !withPart.isEmpty()) {
+      withPart.iterator().next().stopReading(Count.CLIENTS_CLOSED_NO_ROOM);
+    }
+  }
+
+  /** Whether no answer waits to be sent, and no message is unread or partly received. */
   public boolean isQuiet() {
-    return queuedBytes == 0 && connections.stream().noneMatch(RpcConnection::isMidMessage);
+    return queuedBytes == 0 && connections.stream().noneMatch(RpcConnection::hasPendingInput);
   }
 
   /**
@@ -192,6 +220,12 @@
     return counters;
   }
 
+  /** Counts a call whose client has revoked it, or gone, before it was submitted. */
+  void countAbandonedUnsubmitted() {
+    counters.add(Count.CALLS_TAKEN);
+    counters.add(Count.CALLS_ABANDONED);
+  }
+
   private void accept(NetSocket socket) {
     if (connectionLimits.tryAcquire(Purpose.CLIENTS)) {
       admit(socket);
@@ -228,13 +262,24 @@
    * @return false if there is no connection that may be closed
    */
   private boolean displaceConnection() {
+    for (RpcConnection oldest = displaceable(); oldest != null; ) {
+      // A request of its client may have arrived.
+      oldest.readNow();
+      RpcConnection next = displaceable();
+      if (next == oldest) {
+        oldest.close(Count.CLIENTS_DISPLACED);
+        return true;
+      }
+      oldest = next;
+    }
+    return false;
+  }
+
+  /** The connection to be closed for another one; null if there is none. */
+  private RpcConnection displaceable() {
     Set<RpcConnection> candidates =
         silent.size() > MAX_SILENT_CONNECTIONS || idle.isEmpty() ? silent : idle;
-    if (candidates.isEmpty()) {
-      return false;
-    }
-    candidates.iterator().next().close(Count.CLIENTS_DISPLACED);
-    return true;
+    return candidates.isEmpty() ? null : candidates.iterator().next();
   }
 
   /**
--- a/src/main/java/umberrun/stats/Counters.java
+++ b/src/main/java/umberrun/stats/Counters.java
@@ -161,7 +161,7 @@
     LOOP_TURN_MAX_MICROS,
     /** Turns of the event loop of 50 ms or more. */
     LOOP_TURNS_LONG,
-    /** From here to {@code CLIENTS_CLOSED_DUPLICATE_ID}: why RPC connections were closed. */
+    /** From here to {@code CLIENTS_CLOSED_NO_ROOM}: why RPC connections were closed. */
     CLIENTS_CLOSED_BY_PEER,
     /** Reading or writing failed. */
     CLIENTS_CLOSED_ERROR,
@@ -173,10 +173,14 @@
     CLIENTS_CLOSED_MALFORMED,
     /** A request had the id of an open one. */
     CLIENTS_CLOSED_DUPLICATE_ID,
+    /** Parts of messages took too much memory, and this one had waited for longest. */
+    CLIENTS_CLOSED_NO_ROOM,
     /** RPC calls refused as this process accepts no more. */
     CALLS_REFUSED_LEAVING,
     /** RPC calls refused as their connection has too many open requests. */
     CALLS_REFUSED_OPEN_REQUESTS,
+    /** RPC calls refused as their client sends more than its share lets this process read. */
+    CALLS_REFUSED_UNREAD,
     /** From here to {@code RETRIES_AFTER_CANCELLED}: further attempts, by what ended the last. */
     RETRIES_AFTER_MISS,
     RETRIES_AFTER_FULL,
--- a/src/main/java/umberrun/stats/EventLoopMeter.java
+++ b/src/main/java/umberrun/stats/EventLoopMeter.java
@@ -2,7 +2,6 @@
 
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
-import java.util.function.Supplier;
 import umberrun.stats.Counters.Count;
 
 /**
@@ -11,6 +10,15 @@
  * be used on the thread of the event loop only. Times are nanoseconds of {@link System#nanoTime}.
  */
 public final class EventLoopMeter {
+  /** On whose behalf the event loop works, and who is charged for the time. */
+  public interface Account {
+    /** Adds to what has been used, in nanoseconds. */
+    void charge(long nanos);
+
+    /** Describes the owner for the log. */
+    String describe();
+  }
+
   private static final long LONG_TURN_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
   private static final long LOG_INTERVAL_NANOS = TimeUnit.SECONDS.toNanos(1);
 
@@ -25,7 +33,10 @@
   /** The longest piece of work of the current turn, and who it was for; null before the first. */
   private long longestNanos;
 
-  private Supplier<String> longestOwner;
+  private Account longestOwner;
+
+  /** On whose behalf the event loop works now; null for nobody in particular. */
+  private Account current;
 
   private long loggedAt = System.nanoTime() - LOG_INTERVAL_NANOS;
 
@@ -78,20 +89,39 @@
             + " ms, "
             + (longestOwner == null
                 ? ""
-                : TimeUnit.NANOSECONDS.toMillis(longestNanos) + " ms for " + longestOwner.get())
+                : TimeUnit.NANOSECONDS.toMillis(longestNanos)
+                    + " ms for "
+                    + longestOwner.describe())
             + (unlogged == 0 ? "" : ", " + unlogged + " more since the last report"));
     unlogged = 0;
   }
 
+  /** On whose behalf the event loop works now; null for nobody in particular. */
+  public Account current() {
+    return current;
+  }
+
   /**
-   * Records a piece of work of the current turn.
+   * Runs a piece of work and charges it.
    *
-   * @param owner describes for whom it was; asked only if the turn is reported
+   * @param account who is charged; null for nobody
    */
-  public void record(Supplier<String> owner, long nanos) {
-    if (nanos > longestNanos) {
-      longestNanos = nanos;
-      longestOwner = owner;
+  public void run(Account account, Runnable work) {
+    Account before = current;
+    current = account;
+    long startedAt = System.nanoTime();
+    try {
+      work.run();
+    } finally {
+      current = before;
+      long nanos = System.nanoTime() - startedAt;
+      if (account != null) {
+        account.charge(nanos);
+      }
+      if (account != null && nanos > longestNanos) {
+        longestNanos = nanos;
+        longestOwner = account;
+      }
     }
   }
 }
--- a/src/main/java/umberrun/transport/SingleLoopTransport.java
+++ b/src/main/java/umberrun/transport/SingleLoopTransport.java
@@ -3,6 +3,7 @@
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFactory;
+import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.IoHandlerFactory;
 import io.netty.channel.ServerChannel;
@@ -20,7 +21,6 @@
 import java.util.List;
 import java.util.concurrent.ThreadFactory;
 import java.util.concurrent.TimeUnit;
-import umberrun.stats.EventLoopMeter;
 
 /**
  * A transport over Java NIO that uses one event loop for everything, including the accepting of
@@ -33,13 +33,16 @@
  * transport of Vert.x ignores. They can be closed without losing the connections in their queue.
  */
 public final class SingleLoopTransport extends NioTransport implements Transport {
-  private final EventLoopMeter meter;
+  /** What the system may hold of the unread input of an accepted connection. */
+  private static final int RECEIVE_BUFFER_BYTES = 64 << 10;
+
+  private final ReadScheduler scheduler;
   private EventLoopGroup eventLoopGroup;
   private final List<DrainableListener> listeners = new ArrayList<>();
 
-  /** Creates a transport whose event loop the meter measures. */
-  public SingleLoopTransport(EventLoopMeter meter) {
-    this.meter = meter;
+  /** Creates a transport whose connections read when the scheduler lets them. */
+  public SingleLoopTransport(ReadScheduler scheduler) {
+    this.scheduler = scheduler;
   }
 
   /** A listening socket that can be closed without resetting the connections in its queue. */
@@ -62,7 +65,7 @@
       if (socket == null) {
         return 0;
       }
-      accepted.add(new ScheduledSocketChannel(this, socket, meter));
+      accepted.add(new ScheduledSocketChannel(this, socket, scheduler));
       return 1;
     }
 
@@ -94,13 +97,13 @@
 
   @Override
   public ChannelFactory<? extends Channel> channelFactory(boolean domainSocket) {
-    return () -> new ScheduledSocketChannel(meter);
+    return () -> new ScheduledSocketChannel(scheduler);
   }
 
   @Override
   public IoHandlerFactory ioHandlerFactory() {
     IoHandlerFactory factory = super.ioHandlerFactory();
-    return executor -> new MeteredIoHandler(factory.newHandler(executor), meter);
+    return executor -> new MeteredIoHandler(factory.newHandler(executor), scheduler.meter());
   }
 
   @Override
@@ -116,6 +119,8 @@
   @Override
   public void configure(NetServerOptions options, boolean domainSocket, ServerBootstrap bootstrap) {
     super.configure(options, domainSocket, bootstrap);
+    // Accepted connections inherit it. The system would let what is not read yet grow to megabytes.
+    bootstrap.option(ChannelOption.SO_RCVBUF, RECEIVE_BUFFER_BYTES);
     if (options.isReusePort()) {
       bootstrap.option(NioChannelOption.of(StandardSocketOptions.SO_REUSEPORT), true);
     }
--- a/src/main/java/umberrun/worker/WorkerConnection.java
+++ b/src/main/java/umberrun/worker/WorkerConnection.java
@@ -16,6 +16,7 @@
 import saddlestall.Dispatcher.OutcomeCode;
 import umberrun.core.Clock;
 import umberrun.stats.Counters.Count;
+import umberrun.transport.ConnectionInput;
 
 /**
  * One connection to a worker, with the commands that await a reply on it and those that are queued
@@ -77,6 +78,7 @@
   private final Set<Buffer> staleIds = new HashSet<>();
 
   private NetSocket socket;
+  private ConnectionInput input;
 
   /** When the last reply arrived or the connection opened, in microseconds. */
   private long lastReplyAt;
@@ -112,6 +114,7 @@
       return;
     }
     socket = connected;
+    input = ConnectionInput.of(connected);
     lastReplyAt = clock.now();
     connected.setWriteQueueMaxSize(MAX_WRITE_QUEUE_BYTES);
     parser = new RespParser(this::onReply, () -> close(Count.WORKERS_CLOSED_MALFORMED));
@@ -136,13 +139,22 @@
     }
     cancelSilenceTimer();
     startSilenceTimer(false);
+    startPartialReplyTimer();
+  }
+
+  private void startPartialReplyTimer() {
     if (parser.hasPartialArray() && partialReplyTimer < 0 && !closed) {
       partialReplyTimer =
           vertx.setTimer(
               PARTIAL_REPLY_TIMEOUT_MILLIS,
               t -> {
                 partialReplyTimer = -1;
-                close(Count.WORKERS_CLOSED_INCOMPLETE_REPLY);
+                // What has arrived may wait here to be read.
+                if (input.isDrained()) {
+                  close(Count.WORKERS_CLOSED_INCOMPLETE_REPLY);
+                } else {
+                  startPartialReplyTimer();
+                }
               });
     }
   }
@@ -168,7 +180,9 @@
               SILENCE_TIMEOUT_MILLIS,
               t -> {
                 silenceTimer = -1;
-                if (pinged) {
+                if (!input.isDrained()) {
+                  startSilenceTimer(pinged);
+                } else if (pinged) {
                   close(Count.WORKERS_CLOSED_SILENT);
                 } else if (awaitingReply.size() >= SILENCE_CHECK_MIN_COMMANDS) {
                   socket.write(PING);
@@ -318,7 +332,7 @@
    */
   private void onTimeout(PendingCommand command) {
     command.timeoutTimer = -1;
-    boolean silent = command.written && lastReplyAt < command.writtenAt;
+    boolean silent = command.written && lastReplyAt < command.writtenAt && input.isDrained();
     abandon(command, OutcomeCode.TIMEOUT);
     if (silent) {
       retire();
--- a/src/test/java/umberrun/FloodClients.java
+++ b/src/test/java/umberrun/FloodClients.java
@@ -33,6 +33,9 @@
   private static final int MESSAGES_PER_WRITE = 64;
   private static final int RECEIVE_BUFFER_BYTES = 16 << 10;
 
+  /** Bounds what the system holds of a flood, so that its clients do not take all processors. */
+  private static final int SEND_BUFFER_BYTES = 64 << 10;
+
   /** Makes the request ids and functions of all floods of a test run distinct. */
   private static final AtomicLong LAST_NUMBER = new AtomicLong(0x7000_0000_0000_0000L);
 
@@ -64,6 +67,7 @@
     while (!closed) {
       try (Socket socket = new Socket()) {
         socket.setReceiveBufferSize(RECEIVE_BUFFER_BYTES);
+        socket.setSendBufferSize(SEND_BUFFER_BYTES);
         socket.connect(new InetSocketAddress(InetAddress.getLoopbackAddress(), port));
         sockets.add(socket);
         if (reads) {
--- a/src/test/java/umberrun/worker/WorkerPoolTest.java
+++ b/src/test/java/umberrun/worker/WorkerPoolTest.java
@@ -28,6 +28,9 @@
 import umberrun.core.WorkerLeaseView;
 import umberrun.stats.Counters;
 import umberrun.stats.Counters.Count;
+import umberrun.stats.EventLoopMeter;
+import umberrun.transport.ReadScheduler;
+import umberrun.transport.SingleLoopTransport;
 
 /** Tests of the connections to the workers and of the parser of their replies. */
 public class WorkerPoolTest {
@@ -49,7 +52,7 @@
    */
   @Test
   public void aGoneWorkerIsForgottenWithoutAConnection() throws Exception {
-    Vertx vertx = Vertx.vertx();
+    Vertx vertx = scheduledVertx();
     WorkerPool pool =
         new WorkerPool(
             vertx,
@@ -112,7 +115,7 @@
    */
   @Test
   public void unsentBytesAreDroppedWhenAConnectionCloses() throws Exception {
-    Vertx vertx = Vertx.vertx();
+    Vertx vertx = scheduledVertx();
     // More than the operating system buffers for a reader that does not read.
     int bytes = 32 << 20;
     try (ServerSocket worker = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
@@ -179,7 +182,7 @@
    * descriptors.
    */
   private static final class Fleet implements AutoCloseable {
-    private final Vertx vertx = Vertx.vertx();
+    private final Vertx vertx = scheduledVertx();
     private final Context context = vertx.getOrCreateContext();
 
     /** One permit for each piece of data that arrived at a worker. */
@@ -270,4 +273,10 @@
     assertEquals(2, parser.arraysRead());
     assertFalse(parser.hasPartialArray());
   }
+
+  /** An instance whose connections read in turns, as those of the program do. */
+  private static Vertx scheduledVertx() {
+    EventLoopMeter meter = new EventLoopMeter(new Counters(), text -> {});
+    return Vertx.builder().withTransport(new SingleLoopTransport(new ReadScheduler(meter))).build();
+  }
 }
