HTTP heads have a limited number of lines, and nothing is read while responses wait

Callers saw: heads of very many short fields cost 127 of 192 MB, and a usual call beside a hundred connections that pipeline requests timed out. Cause: the decoder makes some 150 bytes of objects of a field of 4 bytes, up to 8 KiB of them for each connection; and responses to pipelined requests were written whether or not the client read the earlier ones, in no account.

Change: HttpInputLimit, for the invoke API, the operators' interface and the exchange of facts: 64 lines a head, beyond which the connection is closed (http_closed_head), and no input while the channel is not writable.

--- a/src/main/java/umberrun/front/invoke/InvokeServer.java
+++ b/src/main/java/umberrun/front/invoke/InvokeServer.java
@@ -37,6 +37,7 @@
 import umberrun.front.CallFields.InvalidField;
 import umberrun.stats.Counters;
 import umberrun.stats.Counters.Count;
+import umberrun.transport.HttpInputLimit;
 
 /**
  * Serves the invoke API over HTTP/1.1: decodes each call, submits it to the invocation registry and
@@ -116,9 +117,10 @@
             connection.close();
             return;
           }
+          HttpInputLimit.apply(connection, () -> counters.add(Count.HTTP_CLOSED_HEAD));
           connections.add(connection);
           silent.put(
-              connection, vertx.setTimer(REQUEST_TIMEOUT_MILLIS, timer -> connection.close()));
+              connection, vertx.setTimer(REQUEST_TIMEOUT_MILLIS, timer -> closeSilent(connection)));
           connection.closeHandler(
               v -> {
                 remove(connection);
@@ -162,12 +164,18 @@
     if (silent.isEmpty()) {
       return false;
     }
+    counters.add(Count.HTTP_DISPLACED);
     HttpConnection oldest = silent.keySet().iterator().next();
     remove(oldest);
     oldest.close();
     return true;
   }
 
+  private void closeSilent(HttpConnection connection) {
+    counters.add(Count.HTTP_CLOSED_SILENT);
+    connection.close();
+  }
+
   private void remove(HttpConnection connection) {
     cancelTimeout(connection);
     if (connections.remove(connection)) {
--- a/src/main/java/umberrun/learning/net/FactServer.java
+++ b/src/main/java/umberrun/learning/net/FactServer.java
@@ -18,6 +18,7 @@
 import umberrun.learning.net.FactClient.Settings;
 import umberrun.stats.Counters;
 import umberrun.stats.Counters.Count;
+import umberrun.transport.HttpInputLimit;
 
 /**
  * Serves the facts of this front end to other front ends over HTTP, at its own address and within a
@@ -86,6 +87,7 @@
             connection.close();
             return;
           }
+          HttpInputLimit.apply(connection, () -> counters.add(Count.HTTP_CLOSED_HEAD));
           connection.closeHandler(v -> connectionLimits.release(Purpose.PEERS));
         });
     server.requestHandler(this::handle);
--- a/src/main/java/umberrun/ops/OperatorServer.java
+++ b/src/main/java/umberrun/ops/OperatorServer.java
@@ -19,6 +19,7 @@
 import umberrun.admission.ConnectionLimits.Purpose;
 import umberrun.stats.Counters;
 import umberrun.stats.Counters.Count;
+import umberrun.transport.HttpInputLimit;
 
 /**
  * The operators' HTTP/1.1 interface, on an address of its own, with one request per connection. It
@@ -112,6 +113,7 @@
       connection.close();
       return;
     }
+    HttpInputLimit.apply(connection, () -> counters.add(Count.HTTP_CLOSED_HEAD));
     connections.add(connection);
     incomplete.put(connection, vertx.setTimer(REQUEST_TIMEOUT_MILLIS, timer -> connection.close()));
     connection.closeHandler(v -> remove(connection));
--- a/src/main/java/umberrun/stats/Counters.java
+++ b/src/main/java/umberrun/stats/Counters.java
@@ -204,7 +204,13 @@
     /** They were to take no more commands, and all replies had arrived. */
     WORKERS_CLOSED_RETIRED,
     /** Unsent commands might have reached a worker that may get nothing new. */
-    WORKERS_CLOSED_BLOCKED;
+    WORKERS_CLOSED_BLOCKED,
+    /** HTTP connections closed for a request head with too many lines. */
+    HTTP_CLOSED_HEAD,
+    /** Connections of the invoke API closed as no first request came in time. */
+    HTTP_CLOSED_SILENT,
+    /** Connections of the invoke API closed to admit a new one. */
+    HTTP_DISPLACED;
 
     private final String printedName;
 
--- a/src/main/java/umberrun/worker/WorkerConnection.java
+++ b/src/main/java/umberrun/worker/WorkerConnection.java
@@ -43,7 +43,12 @@
     void onClosed(WorkerConnection connection, Count reason);
   }
 
-  private static final int MAX_WRITE_QUEUE_BYTES = 64 << 10;
+  /**
+   * While more bytes wait to be sent, no further command is written. With one command beyond it,
+   * this bounds the direct memory that a worker which does not read can take.
+   */
+  private static final int MAX_WRITE_QUEUE_BYTES = 16 << 10;
+
   private static final int MAX_STALE_IDS = 256;
 
   /**
--- a/src/test/java/umberrun/FloodClients.java
+++ b/src/test/java/umberrun/FloodClients.java
@@ -5,6 +5,7 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -27,7 +28,11 @@
     NEW_CLASSES,
     HEARTBEATS,
     /** Calls without a request id and without a budget. */
-    WITHOUT_ID
+    WITHOUT_ID,
+    /** Calls of the invoke API of classes that do not exist. */
+    HTTP_NEW_CLASSES,
+    /** Requests of the invoke API for its health. */
+    HTTP_HEALTH
   }
 
   private static final int MESSAGES_PER_WRITE = 64;
@@ -95,6 +100,9 @@
 
   /** Messages as one write sends them, with message ids from {@code firstId} on. */
   static byte[] batch(Kind kind, long firstId) throws IOException {
+    if (kind == Kind.HTTP_NEW_CLASSES || kind == Kind.HTTP_HEALTH) {
+      return httpBatch(kind);
+    }
     MessageBufferPacker packer = MessagePack.newDefaultBufferPacker();
     for (int i = 0; i < MESSAGES_PER_WRITE; i++) {
       long number = LAST_NUMBER.incrementAndGet();
@@ -113,11 +121,27 @@
                 firstId + i,
                 "date-lookup",
                 Map.of("acct", "central-council", "obj", String.format("%016x", number)));
+        default -> throw new IllegalArgumentException(kind + " is not of this protocol");
       }
     }
     return packer.toByteArray();
   }
 
+  private static byte[] httpBatch(Kind kind) {
+    StringBuilder requests = new StringBuilder();
+    for (int i = 0; i < MESSAGES_PER_WRITE; i++) {
+      if (kind == Kind.HTTP_HEALTH) {
+        requests.append("GET /v1/health HTTP/1.1\r\nHost: x\r\n\r\n");
+      } else {
+        String number = String.format("%016x", LAST_NUMBER.incrementAndGet());
+        requests.append("POST /v1/functions/").append(number).append("/invocations HTTP/1.1\r\n");
+        requests.append("Host: x\r\nInvoke-Class: c").append(number);
+        requests.append("\r\nContent-Length: 0\r\n\r\n");
+      }
+    }
+    return requests.toString().getBytes(StandardCharsets.US_ASCII);
+  }
+
   private static Map<String, String> fields(long number) {
     String id = String.format("%016x", number);
     return Map.of("rid", id, "budget", "2000", "acct", "central-council", "obj", id);
--- a/src/test/java/umberrun/MessageFloodIT.java
+++ b/src/test/java/umberrun/MessageFloodIT.java
@@ -4,9 +4,16 @@
 import static org.junit.Assert.assertTrue;
 
 import java.io.IOException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.time.Duration;
 import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 import org.junit.Test;
@@ -66,6 +73,12 @@
     play(Kind.HEARTBEATS, false);
   }
 
+  @Test
+  public void httpRequestsDelayNobody() throws Exception {
+    play(Kind.HTTP_NEW_CLASSES, true);
+    play(Kind.HTTP_HEALTH, false);
+  }
+
   private static void play(Kind kind, boolean reads) throws Exception {
     for (String connections : CONNECTIONS.split(",")) {
       play(kind, Integer.parseInt(connections), reads);
@@ -73,7 +86,10 @@
   }
 
   private static void play(Kind kind, int connections, boolean reads) throws Exception {
-    try (Processes fleet = new Processes(1, 8, null)) {
+    int invokePort = Processes.freePort();
+    Map<String, Object> invoke = Map.of("invoke", Map.of("listen", "127.0.0.1:" + invokePort));
+    boolean http = kind == Kind.HTTP_HEALTH || kind == Kind.HTTP_NEW_CLASSES;
+    try (Processes fleet = new Processes(1, 8, n -> invoke)) {
       Node node = fleet.nodes.get(0);
       fleet.budgetMillis = BUDGET_MILLIS;
       fleet.pauseMillis = 100;
@@ -93,14 +109,17 @@
           };
       int servedBefore = fleet.served.get();
       int sent;
-      try (FloodClients flood = new FloodClients(kind, node.rpcPort, connections, reads)) {
-        Thread.sleep(FLOOD_MILLIS);
+      HttpCaller caller = new HttpCaller(invokePort);
+      try (FloodClients flood =
+          new FloodClients(kind, http ? invokePort : node.rpcPort, connections, reads)) {
+        caller.callFor(FLOOD_MILLIS);
         sent = flood.sent.get();
       }
       int served = fleet.served.get() - servedBefore;
       String result =
           String.format(
-              "%s on %d connections: %d sent, usual: %d answered, %d served, %d late, %d ms at most; peak %d MB",
+              "%s on %d connections: %d sent, usual: %d answered, %d served, %d late, %d ms at most;"
+                  + " by HTTP: %d served, %d ms at most; peak %d MB",
               kind,
               connections,
               sent,
@@ -108,6 +127,8 @@
               served,
               late.get(),
               longestMicros.get() / 1_000,
+              caller.served,
+              caller.longestMillis,
               peakKb(node) >> 10);
       System.err.println("flood: " + result);
       if (Boolean.getBoolean("flood.log")) {
@@ -120,10 +141,45 @@
       assertEquals(result, List.of(), List.copyOf(fleet.faults));
       assertTrue(result, served >= MIN_SERVED_SHARE * answered.get());
       assertTrue(result, answered.get() > USUAL_CLIENTS * FLOOD_MILLIS / BUDGET_MILLIS);
+      assertTrue(result, caller.served > FLOOD_MILLIS / BUDGET_MILLIS);
+      assertTrue(result, caller.longestMillis <= BUDGET_MILLIS + SLACK_MILLIS);
       assertTrue(result, peakKb(node) < LIMIT_KB);
     }
   }
 
+  /** A usual client of the invoke API: one synchronous call after the other. */
+  private static final class HttpCaller {
+    private final int port;
+    private int served;
+    private long longestMillis;
+
+    HttpCaller(int port) {
+      this.port = port;
+    }
+
+    void callFor(long millis) throws Exception {
+      long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(millis);
+      HttpClient client = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+      HttpRequest request =
+          HttpRequest.newBuilder(
+                  URI.create(
+                      "http://127.0.0.1:" + port + "/v1/functions/7f3a9c21e0b4d655/invocations"))
+              .header("Invoke-Class", "date-lookup")
+              .header("Invoke-Tenant", "central-council")
+              .timeout(Duration.ofMillis(2 * BUDGET_MILLIS))
+              .POST(HttpRequest.BodyPublishers.ofString("hi"))
+              .build();
+      while (System.nanoTime() < end) {
+        long sentAt = System.nanoTime();
+        int status = client.send(request, HttpResponse.BodyHandlers.ofString()).statusCode();
+        served += status == 200 ? 1 : 0;
+        longestMillis =
+            Math.max(longestMillis, TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - sentAt));
+        Thread.sleep(50);
+      }
+    }
+  }
+
   /** Has a worker answer at once; it records no commands, of which a flood brings many. */
   static void answerWithoutRecord(Scenario.Worker worker) {
     worker.handler =
--- a/src/test/java/umberrun/stats/CounterNamesTest.java
+++ b/src/test/java/umberrun/stats/CounterNamesTest.java
@@ -122,7 +122,10 @@
           "workers_closed_incomplete_reply",
           "workers_closed_malformed",
           "workers_closed_retired",
-          "workers_closed_blocked");
+          "workers_closed_blocked",
+          "http_closed_head",
+          "http_closed_silent",
+          "http_displaced");
 
   @Test
   public void printedNamesAndTheirOrderAreFixed() {
