A request that may not run twice does not run again when its id comes again

Cause: an id was known only while its call was in flight, and only to its process.

Change: calls of classes that are not idempotent claim their id before anything is sent; an id that is claimed is answered as failed (calls_repeated). A claim is given up when no attempt may have run.

Not covered: an elder process of a version before this one writes no claims.

--- a/src/main/java/umberrun/Server.java
+++ b/src/main/java/umberrun/Server.java
@@ -578,6 +578,7 @@
         .compose(
             opened -> {
               handover = opened;
+              dispatchLoop.shareClaims(handover.openRequestClaims());
               return shareInvocations();
             });
   }
--- a/src/main/java/umberrun/core/Call.java
+++ b/src/main/java/umberrun/core/Call.java
@@ -28,6 +28,9 @@
    */
   boolean mayHaveRun;
 
+  /** Whether its request is claimed, since it may not run twice. */
+  boolean isClaimed;
+
   /** Attempts that have been sent and have not ended. */
   int attemptsInFlight;
 
--- a/src/main/java/umberrun/core/DispatchLoop.java
+++ b/src/main/java/umberrun/core/DispatchLoop.java
@@ -122,6 +122,9 @@
    */
   private final Set<Buffer> requestIdsInFlight = new HashSet<>();
 
+  /** Requests that may not run twice and may have run. */
+  private RequestClaims claims;
+
   private final LagMeter lag;
   private final WorkerTable workerTable = new WorkerTable();
   private final WorkerSuspensions suspensions;
@@ -173,6 +176,7 @@
     this.log = log;
     this.loopMeter = loopMeter;
     this.lag = new LagMeter(vertx, clock);
+    this.claims = new LocalRequestClaims(clock);
     this.factTranslator = new FactTranslator(settings);
     this.suspensions = new WorkerSuspensions(settings.rules().drainGrace());
     this.discovery =
@@ -207,6 +211,11 @@
     return settings;
   }
 
+  /** Claims requests together with the other processes of this front end from now on. */
+  public void shareClaims(RequestClaims shared) {
+    claims = shared;
+  }
+
   /** Whether this process keeps up, so that it can answer in time the calls that it accepts. */
   public boolean isKeepingUp() {
     return lag.lag() <= MAX_LAG_MICROS;
@@ -404,6 +413,9 @@
       refuse(call, OVERLOAD_BACKOFF_MILLIS);
       return;
     }
+    if (!claim(call)) {
+      return;
+    }
     functionNames.record(request.function(), request.functionBytes());
     long remaining = call.deadline - clock.now();
     call.timers.add(
@@ -425,6 +437,28 @@
             request.resourceHints().loadTime()));
   }
 
+  /** Claims the request of a call that may not run twice; ends the call if it can't be. */
+  private boolean claim(Call call) {
+    if (isIdempotent(call)) {
+      return true;
+    }
+    RequestClaims.Outcome outcome = claims.claim(call.request.idNumber());
+    call.isClaimed = outcome == RequestClaims.Outcome.GRANTED;
+    if (outcome == RequestClaims.Outcome.TAKEN) {
+      counters.add(Count.CALLS_REPEATED);
+      fail(call);
+    } else if (outcome == RequestClaims.Outcome.UNAVAILABLE) {
+      counters.add(Count.CALLS_REFUSED_UNCLAIMED);
+      refuse(call, OVERLOAD_BACKOFF_MILLIS);
+    }
+    return call.isClaimed;
+  }
+
+  private boolean isIdempotent(Call call) {
+    return settings.classes().get(call.request.callClass()).idempotency()
+        == Dispatcher.Idempotency.IDEMPOTENT;
+  }
+
   /** Fails a call that the dispatcher has left without an answer until its deadline. */
   private void failUnanswered(Call call) {
     if (!call.isOver) {
@@ -436,11 +470,8 @@
 
   private void refuse(Call call, long backoffMillis) {
     if (call != null && !call.isOver) {
-      boolean idempotent =
-          settings.classes().get(call.request.callClass()).idempotency()
-              == Dispatcher.Idempotency.IDEMPOTENT;
       // A refusal invites a retry, which must not make the call take effect twice.
-      if (!idempotent && (call.mayHaveRun || call.attemptsInFlight > 0)) {
+      if (!isIdempotent(call) && (call.mayHaveRun || call.attemptsInFlight > 0)) {
         fail(call);
         return;
       }
@@ -477,6 +508,9 @@
   private void release(Call call) {
     if (call.isOver && call.attemptsInFlight == 0 && calls.remove(call.id) != null) {
       requestIdsInFlight.remove(call.request.requestId());
+      if (call.isClaimed && !call.mayHaveRun) {
+        claims.release(call.request.idNumber());
+      }
       bodyBytesInFlight -= call.request.body().length();
     }
   }
--- a/src/main/java/umberrun/core/Request.java
+++ b/src/main/java/umberrun/core/Request.java
@@ -6,7 +6,7 @@
  * A client's call as a front has decoded it. What is passed on unchanged is kept as the bytes that
  * were received; the other fields serve decisions.
  *
- * @param requestId the id under which the worker is called
+ * @param requestId the id under which the worker is called, 16 hexadecimal digits
  * @param callClass index of the call class in the settings
  * @param tenant index of the tenant in the settings
  * @param functionBytes the function as the client wrote it
@@ -27,6 +27,8 @@
     ResourceHints resourceHints,
     Buffer body) {
 
+  private static final int HEX_RADIX = 16;
+
   /**
    * Resource needs of the called function.
    *
@@ -39,6 +41,11 @@
     public static final ResourceHints NONE = new ResourceHints(1, 0, 0);
   }
 
+  /** The request id as a number. */
+  long idNumber() {
+    return Long.parseUnsignedLong(requestId.toString(), HEX_RADIX);
+  }
+
   /** This request for a client that has waited for some microseconds already. */
   public Request afterWaiting(long micros) {
     return withBudget(Math.max(1, budget - micros));
--- a/src/main/java/umberrun/handover/Handover.java
+++ b/src/main/java/umberrun/handover/Handover.java
@@ -17,6 +17,7 @@
 import umberrun.core.Clock;
 import umberrun.core.DispatchLoop;
 import umberrun.core.InvocationJournal;
+import umberrun.core.RequestClaims;
 import umberrun.handover.HandoverStore.OtherProcess;
 import umberrun.handover.HandoverStore.SuspensionState;
 import umberrun.learning.net.FactExchange;
@@ -447,6 +448,14 @@
     return new InvocationFile(folder, store.self(), reader, log);
   }
 
+  /**
+   * Opens the claims of requests that the processes share. They are read and written on the event
+   * loop, as nothing may be sent for a request before the others can know of it.
+   */
+  public RequestClaims openRequestClaims() {
+    return new RequestClaimFiles(folder, UUID.randomUUID().getMostSignificantBits(), clock, log);
+  }
+
   /** Removes this process from the shared folder. */
   public void close() {
     store.close();
--- a/src/main/java/umberrun/stats/Counters.java
+++ b/src/main/java/umberrun/stats/Counters.java
@@ -181,6 +181,10 @@
     CALLS_REFUSED_OPEN_REQUESTS,
     /** RPC calls refused as their client sends more than its share lets this process read. */
     CALLS_REFUSED_UNREAD,
+    /** Calls refused as it can't be remembered that they run, and they may not run twice. */
+    CALLS_REFUSED_UNCLAIMED,
+    /** Calls failed as their request may have run before. */
+    CALLS_REPEATED,
     /** From here to {@code RETRIES_AFTER_CANCELLED}: further attempts, by what ended the last. */
     RETRIES_AFTER_MISS,
     RETRIES_AFTER_FULL,
--- a/src/test/java/umberrun/stats/CounterNamesTest.java
+++ b/src/test/java/umberrun/stats/CounterNamesTest.java
@@ -105,6 +105,8 @@
           "calls_refused_leaving",
           "calls_refused_open_requests",
           "calls_refused_unread",
+          "calls_refused_unclaimed",
+          "calls_repeated",
           "retries_after_miss",
           "retries_after_full",
           "retries_after_error",
