A worker whose address another one has taken over counts as gone

Cause: workers are known by name, and the list may say that the new one is in service before it says that the old one is gone; a retry for the old one, which its class ties to the old one's hall, then went to the new process.

Change: one worker at an address. One that is listed in service there for the first time, or started later, replaces the one before, which counts as gone at once (workers_replaced); what the list says of that one later is passed over. Peers and processes of one front end have identities of their own beside their addresses (read: ProcessGeneration, FactTranslator.origin, the ids of HandoverStore); not tried with processes.

Measured: aRetryDoesNotGoToTheNewWorkerAtAnOldAddress fails on (the retry of a keyed call reached the new worker of another hall) and passes now.

--- a/src/main/java/umberrun/core/DispatchLoop.java
+++ b/src/main/java/umberrun/core/DispatchLoop.java
@@ -695,20 +695,7 @@
             applyEndpoint(e, now, entries);
           }
           for (WorkerTable.Entry m : missing) {
-            Endpoint e = m.endpoint();
-            applyEndpoint(
-                new Endpoint(
-                    e.name(),
-                    e.host(),
-                    e.port(),
-                    e.zone(),
-                    e.kind(),
-                    e.cell(),
-                    WorkerState.GONE,
-                    e.weight(),
-                    e.startedAt()),
-                now,
-                entries);
+            applyEndpoint(m.endpoint().gone(), now, entries);
           }
           dispatch(new WorkerListUpdate(kind, entries));
           applyFacts(factTranslator.removePending());
@@ -716,6 +703,17 @@
   }
 
   private void applyEndpoint(Endpoint endpoint, long now, List<WorkerEntry> entries) {
+    if (workerTable.isOutdated(endpoint)) {
+      if (workerTable.find(endpoint.name()) != null) {
+        applyEndpoint(endpoint.gone(), now, entries);
+      }
+      return;
+    }
+    WorkerTable.Entry replaced = workerTable.replacedBy(endpoint);
+    if (replaced != null) {
+      counters.add(Count.WORKERS_REPLACED);
+      applyEndpoint(replaced.endpoint().gone(), now, entries);
+    }
     WorkerTable.Entry entry = workerTable.put(endpoint, now);
     entries.add(publishState(entry));
     if (endpoint.state() == WorkerState.GONE) {
--- a/src/main/java/umberrun/core/Endpoint.java
+++ b/src/main/java/umberrun/core/Endpoint.java
@@ -21,4 +21,9 @@
     int cell,
     WorkerState state,
     double weight,
-    long startedAt) {}
+    long startedAt) {
+  /** This entry for a worker that is gone. */
+  Endpoint gone() {
+    return new Endpoint(name, host, port, zone, kind, cell, WorkerState.GONE, weight, startedAt);
+  }
+}
--- a/src/main/java/umberrun/core/WorkerTable.java
+++ b/src/main/java/umberrun/core/WorkerTable.java
@@ -23,6 +23,10 @@
 
   private final Map<String, Entry> byName = new HashMap<>();
   private final Map<Integer, String> namesById = new HashMap<>();
+
+  /** The worker that is listed last at each address, by host and port. */
+  private final Map<String, String> namesByAddress = new HashMap<>();
+
   private final Set<String> everListed =
       Collections.newSetFromMap(new BoundedMap<>(MAX_REMEMBERED_NAMES, false));
 
@@ -37,10 +41,53 @@
         new Entry(
             previous == null ? assignId(endpoint.name()) : previous.id, endpoint, drainReportedAt);
     byName.put(endpoint.name(), updated);
+    if (previous != null) {
+      namesByAddress.remove(address(previous.endpoint), endpoint.name());
+    }
+    if (endpoint.state() != WorkerState.GONE) {
+      namesByAddress.put(address(endpoint), endpoint.name());
+    }
     everListed.add(endpoint.name());
     return updated;
   }
 
+  /**
+   * The worker whose address another one has taken over: it is gone, whatever the list still says.
+   * Null if the address of {@code endpoint} was free, or its own, or stays with the worker that has
+   * it (see {@link #isOutdated}).
+   */
+  Entry replacedBy(Endpoint endpoint) {
+    Entry occupant = occupant(endpoint);
+    boolean replaces = endpoint.state() == WorkerState.READY && !isOutdated(endpoint);
+    return replaces ? occupant : null;
+  }
+
+  /**
+   * Whether an endpoint is listed at an address that a later worker has: it drains or has been
+   * listed before, and did not start later than that one.
+   */
+  boolean isOutdated(Endpoint endpoint) {
+    Entry occupant = occupant(endpoint);
+    if (occupant == null || endpoint.state() == WorkerState.GONE) {
+      return false;
+    }
+    boolean startedLater = endpoint.startedAt() > occupant.endpoint.startedAt();
+    boolean isNew =
+        !everListed.contains(endpoint.name())
+            && endpoint.startedAt() == occupant.endpoint.startedAt();
+    return endpoint.state() != WorkerState.READY || !startedLater && !isNew;
+  }
+
+  /** The other worker that is listed at the address of an endpoint, or null. */
+  private Entry occupant(Endpoint endpoint) {
+    String name = namesByAddress.get(address(endpoint));
+    return name == null || name.equals(endpoint.name()) ? null : byName.get(name);
+  }
+
+  private static String address(Endpoint endpoint) {
+    return endpoint.host() + ":" + endpoint.port();
+  }
+
   /** All listed workers. */
   Iterable<Entry> all() {
     return byName.values();
@@ -72,6 +119,7 @@
    */
   void remove(Entry entry) {
     byName.remove(entry.endpoint.name());
+    namesByAddress.remove(address(entry.endpoint), entry.endpoint.name());
     namesById.remove(entry.id);
   }
 
--- a/src/main/java/umberrun/stats/Counters.java
+++ b/src/main/java/umberrun/stats/Counters.java
@@ -209,6 +209,8 @@
     WORKERS_CLOSED_RETIRED,
     /** Unsent commands might have reached a worker that may get nothing new. */
     WORKERS_CLOSED_BLOCKED,
+    /** Workers that count as gone since another one was listed at their address. */
+    WORKERS_REPLACED,
     /** HTTP connections closed for a request head with too many lines. */
     HTTP_CLOSED_HEAD,
     /** Connections of the invoke API closed as no first request came in time. */
--- a/src/test/java/umberrun/CrossingsTest.java
+++ b/src/test/java/umberrun/CrossingsTest.java
@@ -386,6 +386,26 @@
     }
   }
 
+  // ---------------------------------------------------------------- new workers at old addresses
+
+  /**
+   * Guards against a retry that goes to a worker of another hall, which does not know the call,
+   * since it has come up at the address of the one that has gone.
+   */
+  @Test
+  public void aRetryDoesNotGoToTheNewWorkerAtAnOldAddress() throws Exception {
+    try (Scenario scenario = Scenario.of("w1")) {
+      scenario.play("c1 send 1 slot-change\nw1 expect RUN 2d41");
+      scenario.addWorkerAtAddressOf("w1", "x9");
+      scenario.play("w1 send reset\nc1 expect [1,1,[\nw1 wait 200");
+      // What the list says of the old worker later does not concern the new one.
+      scenario.updateWorker("w1", "terminating");
+      scenario.updateWorker("w1", "terminated");
+      scenario.play(
+          "c1 send 2 slot-change\nx9 expect RUN 2d42\nx9 send 200 n=w\nc1 expect [1,2,null");
+    }
+  }
+
   // ---------------------------------------------------------------- shutdown of the process
 
   /**
--- a/src/test/java/umberrun/Scenario.java
+++ b/src/test/java/umberrun/Scenario.java
@@ -625,6 +625,17 @@
     addEvent(name, "in_service");
   }
 
+  /**
+   * Adds a worker to the change log that has come up at the address of another one, and returns
+   * once the front end has it in its list.
+   */
+  void addWorkerAtAddressOf(String earlier, String name) throws Exception {
+    long before = server.counters().get(Count.LIST_CHANGES);
+    workers.put(name, workers.get(earlier));
+    addEvent(name, "in_service");
+    await(Count.LIST_CHANGES, before);
+  }
+
   /** Starts another worker, and returns once the front end has it in its list. */
   void addWorkerAndAwait(String name) throws Exception {
     long before = server.counters().get(Count.LIST_CHANGES);
