--- a/src/test/java/umberrun/Processes.java
+++ b/src/test/java/umberrun/Processes.java
@@ -148,9 +148,30 @@
           "the old process is still running", oldProcess.waitFor(START_SECONDS, TimeUnit.SECONDS));
     }
 
+    /**
+     * Starts a new process beside the old one, then tells the old one to end and kills it at the
+     * earliest time at which a platform may do that.
+     */
+    void upgradeAndKill() throws Exception {
+      Process oldProcess = process;
+      operatorPort = freePort();
+      start();
+      awaitReady(operatorPort);
+      disturbed = true;
+      oldProcess.destroy();
+      if (!oldProcess.waitFor(MAX_SHUTDOWN_MILLIS, TimeUnit.MILLISECONDS)) {
+        oldProcess.destroyForcibly().waitFor();
+      }
+    }
+
     /** Sends a signal, such as {@code STOP}, and does not wait for its effect. */
     void signal(String name) throws Exception {
       disturbed = true;
+      notify(name);
+    }
+
+    /** Sends a signal that does not keep the process from answering. */
+    void notify(String name) throws Exception {
       assertEquals(
           0,
           new ProcessBuilder("kill", "-" + name, Long.toString(process.pid())).start().waitFor());
@@ -390,6 +411,7 @@
   }
 
   private final int coldMillis;
+  private final String deploymentSettings;
 
   /** The last seed that was used; each configuration gets the next one. */
   private int lastSeed;
@@ -411,6 +433,18 @@
    */
   Processes(int size, int workerCount, IntFunction<Map<String, Object>> sections, int coldMillis)
       throws Exception {
+    this(size, workerCount, sections, coldMillis, Scenario.SETTINGS);
+  }
+
+  /** Starts front ends as the other constructors do, with other settings. */
+  Processes(
+      int size,
+      int workerCount,
+      IntFunction<Map<String, Object>> sections,
+      int coldMillis,
+      String deploymentSettings)
+      throws Exception {
+    this.deploymentSettings = deploymentSettings;
     this.coldMillis = coldMillis;
     this.sections = sections;
     this.relays = new Relay[size][size];
@@ -604,7 +638,7 @@
   /** The configuration of a front end, with all events of the change log so far as known. */
   String configuration(Node node) {
     String settings =
-        Scenario.SETTINGS
+        deploymentSettings
             .replace("\"Siblings\":3", "\"Siblings\":" + relays.length)
             .replace("\"Zone\":0", "\"Zone\":" + node.number % 3)
             .replace("\"Cold\":17000", "\"Cold\":" + coldMillis);
