Only at_most_once requests are claimed; accounts for HTTP input and replies by half

Cause: a failing test of the whole suite (aLateAnswerIsIgnored): a request of a deduplicated class that has failed may come again under its id, and runs, as the workers of a hall know its key; claims had ended that. They are for at_most_once classes alone now. The test of the successor waits until its predecessor has closed its listener.

Also, from reading what waits between sockets and decisions: of an HTTP client whose requests have to wait, what one turn has read stays as bytes instead of decoded requests; parts of workers' replies are within 8 MiB, one reply within its greatest body and 16 KiB instead of 16 MiB (workers_closed_no_room).

--- a/src/main/java/umberrun/admission/InputBudget.java
+++ b/src/main/java/umberrun/admission/InputBudget.java
@@ -1,9 +1,9 @@
 package umberrun.admission;
 
 /**
- * Limits the memory for what was received of clients and is not submitted yet: parts of messages
- * whose rest is missing, and whole requests that are held. All processes of a front end share the
- * limit. Does no I/O.
+ * Limits the memory for what was received and is not handled yet: parts of messages whose rest is
+ * missing, and whole requests that are held. All processes of a front end share the limit. Does no
+ * I/O.
  */
 public final class InputBudget {
   private final long maxBytes;
@@ -28,9 +28,4 @@
   public void charge(long bytes) {
     usedBytes += bytes;
   }
-
-  /** What is used, in bytes. */
-  public long usedBytes() {
-    return usedBytes;
-  }
 }
--- a/src/main/java/umberrun/core/ClaimTable.java
+++ b/src/main/java/umberrun/core/ClaimTable.java
@@ -8,8 +8,8 @@
  * I/O.
  */
 public final class ClaimTable {
-  /** The most claims of one period; together with those before, some 5 MB. */
-  private static final int MAX_CLAIMS_PER_PERIOD = 32_768;
+  /** The most claims of one period; together with those before, some 3 MB. */
+  private static final int MAX_CLAIMS_PER_PERIOD = 16_384;
 
   private Map<Long, Long> current = new HashMap<>();
   private Map<Long, Long> previous = Map.of();
--- a/src/main/java/umberrun/core/DispatchLoop.java
+++ b/src/main/java/umberrun/core/DispatchLoop.java
@@ -439,7 +439,7 @@
 
   /** Claims the request of a call that may not run twice; ends the call if it can't be. */
   private boolean claim(Call call) {
-    if (isIdempotent(call)) {
+    if (callClass(call).idempotency() != Dispatcher.Idempotency.NOT_IDEMPOTENT) {
       return true;
     }
     RequestClaims.Outcome outcome = claims.claim(call.request.idNumber());
@@ -454,9 +454,8 @@
     return call.isClaimed;
   }
 
-  private boolean isIdempotent(Call call) {
-    return settings.classes().get(call.request.callClass()).idempotency()
-        == Dispatcher.Idempotency.IDEMPOTENT;
+  private Dispatcher.CallClass callClass(Call call) {
+    return settings.classes().get(call.request.callClass());
   }
 
   /** Fails a call that the dispatcher has left without an answer until its deadline. */
@@ -471,7 +470,8 @@
   private void refuse(Call call, long backoffMillis) {
     if (call != null && !call.isOver) {
       // A refusal invites a retry, which must not make the call take effect twice.
-      if (!isIdempotent(call) && (call.mayHaveRun || call.attemptsInFlight > 0)) {
+      boolean idempotent = callClass(call).idempotency() == Dispatcher.Idempotency.IDEMPOTENT;
+      if (!idempotent && (call.mayHaveRun || call.attemptsInFlight > 0)) {
         fail(call);
         return;
       }
--- a/src/main/java/umberrun/stats/Counters.java
+++ b/src/main/java/umberrun/stats/Counters.java
@@ -196,7 +196,7 @@
     RETRIES_AFTER_CANCELLED,
     /** Further attempts while an earlier one is in flight. */
     ATTEMPTS_HEDGED,
-    /** From here to {@code WORKERS_CLOSED_BLOCKED}: why connections to workers were closed. */
+    /** From here to {@code WORKERS_CLOSED_NO_ROOM}: why connections to workers were closed. */
     WORKERS_CLOSED_BY_PEER,
     WORKERS_CLOSED_ERROR,
     WORKERS_CLOSED_CONNECT_FAILED,
@@ -209,6 +209,8 @@
     WORKERS_CLOSED_RETIRED,
     /** Unsent commands might have reached a worker that may get nothing new. */
     WORKERS_CLOSED_BLOCKED,
+    /** Parts of replies took too much memory. */
+    WORKERS_CLOSED_NO_ROOM,
     /** Workers that count as gone since another one was listed at their address. */
     WORKERS_REPLACED,
     /** HTTP connections closed for a request head with too many lines. */
--- a/src/main/java/umberrun/transport/HttpInputLimit.java
+++ b/src/main/java/umberrun/transport/HttpInputLimit.java
@@ -1,6 +1,8 @@
 package umberrun.transport;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelDuplexHandler;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelPipeline;
@@ -16,9 +18,11 @@
  *       passed on to the decoder in small pieces, and the line ends are counted since the decoder
  *       last produced something.
  *   <li>Nothing is read while responses wait that the client does not read.
+ *   <li>Nothing more is decoded while reading is paused, as it is for further requests of a client
+ *       that does not wait for a response. What one turn has read waits as bytes.
  * </ul>
  */
-public final class HttpInputLimit extends ChannelInboundHandlerAdapter {
+public final class HttpInputLimit extends ChannelDuplexHandler {
   /** The most lines of a request head. */
   public static final int MAX_HEAD_LINES = 64;
 
@@ -32,6 +36,11 @@
   /** Line ends since the decoder last produced something. */
   private int lines;
 
+  /** Input that waits to be decoded, or null. */
+  private ByteBuf pending;
+
+  private boolean decoding;
+
   private HttpInputLimit(Runnable onTooManyLines) {
     this.onTooManyLines = onTooManyLines;
   }
@@ -63,16 +72,41 @@
       context.fireChannelRead(message);
       return;
     }
+    // Usually nothing is pending, as nothing is read while it is.
+    pending = pending == null ? input : Unpooled.wrappedBuffer(pending, input);
+    decode(context);
+  }
+
+  /** Called when reading goes on. */
+  @Override
+  public void read(ChannelHandlerContext context) {
+    if (pending != null && !decoding) {
+      decode(context);
+      context.fireChannelReadComplete();
+    }
+    if (pending == null) {
+      context.read();
+    }
+  }
+
+  private void decode(ChannelHandlerContext context) {
+    decoding = true;
     try {
-      while (input.isReadable() && context.channel().isActive()) {
-        passOn(context, input.readRetainedSlice(Math.min(PIECE_BYTES, input.readableBytes())));
+      while (pending != null && mayDecode(context)) {
+        decodePiece(context);
       }
     } finally {
-      input.release();
+      decoding = false;
     }
   }
 
-  private void passOn(ChannelHandlerContext context, ByteBuf piece) {
+  private void decodePiece(ChannelHandlerContext context) {
+    ByteBuf input = pending;
+    ByteBuf piece = input.readRetainedSlice(Math.min(PIECE_BYTES, input.readableBytes()));
+    if (!input.isReadable()) {
+      pending = null;
+      input.release();
+    }
     lines += countLineEnds(piece);
     context.fireChannelRead(piece);
     if (lines > MAX_HEAD_LINES) {
@@ -81,6 +115,19 @@
     }
   }
 
+  private static boolean mayDecode(ChannelHandlerContext context) {
+    return context.channel().config().isAutoRead() && context.channel().isActive();
+  }
+
+  @Override
+  public void channelInactive(ChannelHandlerContext context) {
+    if (pending != null) {
+      pending.release();
+      pending = null;
+    }
+    context.fireChannelInactive();
+  }
+
   private static int countLineEnds(ByteBuf piece) {
     int count = 0;
     for (int i = piece.readerIndex(); i < piece.writerIndex(); i++) {
--- a/src/main/java/umberrun/worker/RespParser.java
+++ b/src/main/java/umberrun/worker/RespParser.java
@@ -14,6 +14,10 @@
 final class RespParser implements Handler<Buffer> {
   private static final int MAX_PARTS = 16;
   private static final int MAX_BULK_BYTES = 1 << 20;
+
+  /** The longest array: a body of the greatest length, and short strings. */
+  private static final int MAX_ARRAY_BYTES = MAX_BULK_BYTES + (16 << 10);
+
   private static final int MAX_HEADER_LINE_BYTES = 32;
 
   /** The CR LF behind each header line and each bulk string. */
@@ -38,6 +42,9 @@
   /** Bytes received that do not yet form a whole record. */
   private long bufferedBytes;
 
+  /** Bytes of the parts of the current array. */
+  private long partBytes;
+
   /**
    * @param arrayHandler receives each whole array
    * @param malformedHandler runs once when the stream cannot be parsed; no arrays follow
@@ -64,6 +71,11 @@
     return parts != null || bufferedBytes > 0;
   }
 
+  /** What the received part of an array takes, in bytes. */
+  long heldBytes() {
+    return failed ? 0 : bufferedBytes + partBytes;
+  }
+
   /** Returns how many whole arrays have been parsed. */
   long arraysRead() {
     return arraysRead;
@@ -88,12 +100,14 @@
         return;
       }
       parts.add(record.getBuffer(0, bulkBytes));
+      partBytes += bulkBytes;
       bulkBytes = -1;
       records.delimitedMode("\r\n");
       records.maxRecordSize(MAX_HEADER_LINE_BYTES);
       if (parts.size() == expectedParts) {
         List<Buffer> whole = parts;
         parts = null;
+        partBytes = 0;
         arraysRead++;
         arrayHandler.handle(whole);
       }
@@ -105,7 +119,7 @@
       }
     } else {
       bulkBytes = headerNumber(record, '$', MAX_BULK_BYTES);
-      if (bulkBytes < 0) {
+      if (bulkBytes < 0 || partBytes + bulkBytes > MAX_ARRAY_BYTES) {
         fail();
       } else {
         records.fixedSizeMode(bulkBytes + TERMINATOR_BYTES);
--- a/src/main/java/umberrun/worker/WorkerConnection.java
+++ b/src/main/java/umberrun/worker/WorkerConnection.java
@@ -14,6 +14,7 @@
 import java.util.Map;
 import java.util.Set;
 import saddlestall.Dispatcher.OutcomeCode;
+import umberrun.admission.InputBudget;
 import umberrun.core.Clock;
 import umberrun.stats.Counters.Count;
 import umberrun.transport.ConnectionInput;
@@ -73,6 +74,7 @@
   private final Clock clock;
   private final Listener listener;
   private final long idleMillis;
+  private final InputBudget replyBudget;
   private final Map<Buffer, PendingCommand> awaitingReply = new HashMap<>();
   private final ArrayDeque<PendingCommand> queued = new ArrayDeque<>();
 
@@ -90,6 +92,9 @@
 
   private RespParser parser;
 
+  /** What is charged for the received part of a reply, in bytes. */
+  private long chargedBytes;
+
   /** Ids of Vert.x timers, or -1 for one that is not running. */
   private long idleTimer = -1;
 
@@ -104,8 +109,11 @@
   /**
    * @param idleMillis how long the connection stays open without commands, in milliseconds; 0 for
    *     no limit
+   * @param replyBudget limits what was received of replies whose rest is missing
    */
-  WorkerConnection(Vertx vertx, Clock clock, Listener listener, long idleMillis) {
+  WorkerConnection(
+      Vertx vertx, Clock clock, Listener listener, long idleMillis, InputBudget replyBudget) {
+    this.replyBudget = replyBudget;
     this.vertx = vertx;
     this.clock = clock;
     this.listener = listener;
@@ -139,6 +147,10 @@
   private void onData(Buffer chunk) {
     long arraysBefore = parser.arraysRead();
     parser.handle(chunk);
+    if (!chargePart()) {
+      close(Count.WORKERS_CLOSED_NO_ROOM);
+      return;
+    }
     if (parser.arraysRead() > arraysBefore) {
       cancelPartialReplyTimer();
     }
@@ -147,6 +159,14 @@
     startPartialReplyTimer();
   }
 
+  /** Charges the memory for the received part of a reply; false if there is no room for it. */
+  private boolean chargePart() {
+    long bytes = closed ? 0 : parser.heldBytes();
+    replyBudget.charge(bytes - chargedBytes);
+    chargedBytes = bytes;
+    return bytes == 0 || replyBudget.hasRoomFor(0);
+  }
+
   private void startPartialReplyTimer() {
     if (parser.hasPartialArray() && partialReplyTimer < 0 && !closed) {
       partialReplyTimer =
@@ -400,6 +420,7 @@
     cancelPartialReplyTimer();
     cancelSilenceTimer();
     if (socket != null) {
+      chargePart();
       // Closes the Netty channel directly, since NetSocket.close() waits until all bytes are
       // written. A worker that resumes reading must not receive commands after it began to drain
       // or after their callers left, and a worker that does not read must not hold a descriptor.
--- a/src/main/java/umberrun/worker/WorkerPool.java
+++ b/src/main/java/umberrun/worker/WorkerPool.java
@@ -16,6 +16,7 @@
 import saddlestall.Dispatcher.WorkerState;
 import umberrun.admission.ConnectionLimits;
 import umberrun.admission.ConnectionLimits.Purpose;
+import umberrun.admission.InputBudget;
 import umberrun.config.Config.SettingNames;
 import umberrun.core.Attempt;
 import umberrun.core.Clock;
@@ -33,6 +34,10 @@
  */
 public final class WorkerPool implements WorkerTransport {
   private static final int MAX_CONNECTIONS_PER_WORKER = 8;
+
+  /** The most bytes of replies whose rest is missing, for all workers together. */
+  private static final long MAX_PARTIAL_REPLY_BYTES = 8 << 20;
+
   private static final long PROBE_TIMEOUT_MICROS = 500_000;
 
   /**
@@ -54,6 +59,7 @@
   private final Settings settings;
   private final SettingNames names;
   private final ConnectionLimits connectionLimits;
+  private final InputBudget replyBudget;
   private final WorkerLeaseView leases;
   private final Map<Integer, Worker> workers = new HashMap<>();
 
@@ -80,6 +86,7 @@
     this.settings = settings;
     this.names = names;
     this.connectionLimits = connectionLimits;
+    this.replyBudget = new InputBudget(MAX_PARTIAL_REPLY_BYTES, connectionLimits);
     NetClientOptions options = new NetClientOptions().setTcpNoDelay(true);
     // Without a connect timeout, a command that waits for its connection ends at its own deadline.
     if (settings.limits().connectTimeout() > 0) {
@@ -205,7 +212,11 @@
     private WorkerConnection connect() {
       WorkerConnection connection =
           new WorkerConnection(
-              vertx, clock, this, (long) (IDLE_CLOSE_FRACTION * names.idleCloseMillis()));
+              vertx,
+              clock,
+              this,
+              (long) (IDLE_CLOSE_FRACTION * names.idleCloseMillis()),
+              replyBudget);
       connections.add(connection);
       counters.add(Count.WORKER_CONNECTIONS);
       client
--- a/src/test/java/umberrun/RepeatedRequestTest.java
+++ b/src/test/java/umberrun/RepeatedRequestTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.Assert.assertEquals;
 
+import java.util.concurrent.TimeUnit;
 import org.junit.Rule;
 import org.junit.Test;
 import org.junit.rules.TemporaryFolder;
@@ -53,7 +54,11 @@
       s.play("c1 send 1 slot-change\nw1 expect RUN 2d41\nw1 send 200 n=w\nc1 expect [1,1,null");
       s.play("c1 close");
       Server predecessor = s.startSuccessor();
-      predecessor.close();
+      predecessor
+          .close()
+          .toCompletionStage()
+          .toCompletableFuture()
+          .get(Scenario.TIMEOUT_SECONDS, TimeUnit.SECONDS);
       s.play("c2 send 1 slot-change\nc2 expect [1,1,[ Failed\nw1 wait 200");
       s.play("c2 send 2 slot-change\nw1 expect RUN 2d42\nw1 send 200 n=w\nc2 expect [1,2,null");
     }
--- a/src/test/java/umberrun/stats/CounterNamesTest.java
+++ b/src/test/java/umberrun/stats/CounterNamesTest.java
@@ -125,6 +125,7 @@
           "workers_closed_malformed",
           "workers_closed_retired",
           "workers_closed_blocked",
+          "workers_closed_no_room",
           "workers_replaced",
           "http_closed_head",
           "http_closed_silent",
--- a/src/test/java/umberrun/worker/WorkerPoolTest.java
+++ b/src/test/java/umberrun/worker/WorkerPoolTest.java
@@ -22,6 +22,7 @@
 import saddlestall.benchlink.SettingsJson;
 import umberrun.admission.ConnectionLimits;
 import umberrun.admission.ConnectionLimits.Purpose;
+import umberrun.admission.InputBudget;
 import umberrun.config.Config.SettingNames;
 import umberrun.core.Clock;
 import umberrun.core.Endpoint;
@@ -115,6 +116,8 @@
    */
   @Test
   public void unsentBytesAreDroppedWhenAConnectionCloses() throws Exception {
+    InputBudget replyBudget =
+        new InputBudget(1 << 20, new ConnectionLimits(1_024, false, false, 0));
     Vertx vertx = scheduledVertx();
     // More than the operating system buffers for a reader that does not read.
     int bytes = 32 << 20;
@@ -138,7 +141,8 @@
                       @Override
                       public void onClosed(WorkerConnection closed, Count reason) {}
                     },
-                    60_000);
+                    60_000,
+                    replyBudget);
             vertx
                 .createNetClient()
                 .connect(worker.getLocalPort(), "127.0.0.1")
