One class for budgets of memory; the output of an RPC connection is a class of its own

MemoryBudget stands for both, RpcOutput writes the messages to one client. No behaviour changes. RpcScenariosTest, CrossingsTest, WorkerPoolTest and clientsThatDoNotReadDelayNobody (8 and 100 connections) pass.

--- a/src/main/java/umberrun/Server.java
+++ b/src/main/java/umberrun/Server.java
@@ -25,9 +25,8 @@
 import saddlestall.Dispatcher.CallClass;
 import sun.misc.Signal;
 import sun.misc.SignalHandler;
-import umberrun.admission.AnswerBudget;
 import umberrun.admission.ConnectionLimits;
-import umberrun.admission.InputBudget;
+import umberrun.admission.MemoryBudget;
 import umberrun.config.Config;
 import umberrun.config.Config.InvalidConfig;
 import umberrun.config.OperatorFile;
@@ -397,7 +396,7 @@
       changeLog.loadInitial(config.initialEvents());
       workerListSources.add(changeLog);
     }
-    AnswerBudget answerBudget = new AnswerBudget(config.answerBytes(), connectionLimits);
+    MemoryBudget answerBudget = new MemoryBudget(config.answerBytes(), connectionLimits);
     rpcServer =
         new RpcServer(
             vertx,
@@ -408,7 +407,7 @@
             clock,
             connectionLimits,
             answerBudget,
-            new InputBudget(config.inputBytes(), connectionLimits));
+            new MemoryBudget(config.inputBytes(), connectionLimits));
     if (operatorFile != null && operatorFile.invoke() != null) {
       invocations =
           new InvocationRegistry(vertx, clock, dispatchLoop, counters, operatorFile.deferred());
--- a/src/main/java/umberrun/admission/InputBudget.java
+++ b/src/main/java/umberrun/admission/MemoryBudget.java
@@ -1,11 +1,11 @@
 package umberrun.admission;
 
 /**
- * Limits the memory for what was received and is not handled yet: parts of messages whose rest is
- * missing, and whole requests that are held. All processes of a front end share the limit. Does no
+ * Limits the memory for one purpose: answers that wait to be sent to clients that read slowly, or
+ * what was received and is not handled yet. All processes of a front end share the limit. Does no
  * I/O.
  */
-public final class InputBudget {
+public final class MemoryBudget {
   private final long maxBytes;
   private final ConnectionLimits connectionLimits;
   private long usedBytes;
@@ -14,7 +14,7 @@
    * @param maxBytes limit for all processes of this front end together, in bytes
    * @param connectionLimits knows how many processes there are
    */
-  public InputBudget(long maxBytes, ConnectionLimits connectionLimits) {
+  public MemoryBudget(long maxBytes, ConnectionLimits connectionLimits) {
     this.maxBytes = maxBytes;
     this.connectionLimits = connectionLimits;
   }
@@ -24,8 +24,13 @@
     return usedBytes + bytes <= maxBytes / connectionLimits.processes();
   }
 
-  /** Changes what is used; negative where memory is released. */
+  /** Counts bytes as used, whether or not there was room for them. */
   public void charge(long bytes) {
     usedBytes += bytes;
   }
+
+  /** Counts bytes as no longer used. */
+  public void release(long bytes) {
+    usedBytes -= bytes;
+  }
 }
--- a/src/main/java/umberrun/front/invoke/InvokeServer.java
+++ b/src/main/java/umberrun/front/invoke/InvokeServer.java
@@ -20,9 +20,9 @@
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import saddlestall.Dispatcher.CallClass;
-import umberrun.admission.AnswerBudget;
 import umberrun.admission.ConnectionLimits;
 import umberrun.admission.ConnectionLimits.Purpose;
+import umberrun.admission.MemoryBudget;
 import umberrun.config.Config.SettingNames;
 import umberrun.core.Clock;
 import umberrun.core.DispatchLoop;
@@ -90,7 +90,7 @@
       Lifecycle lifecycle,
       Clock clock,
       ConnectionLimits connectionLimits,
-      AnswerBudget answerBudget) {
+      MemoryBudget answerBudget) {
     this.responder = new ResultResponder(answerBudget, counters);
     this.vertx = vertx;
     this.lifecycle = lifecycle;
--- a/src/main/java/umberrun/front/invoke/ResultResponder.java
+++ b/src/main/java/umberrun/front/invoke/ResultResponder.java
@@ -4,7 +4,7 @@
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.HttpServerRequest;
 import io.vertx.core.http.HttpServerResponse;
-import umberrun.admission.AnswerBudget;
+import umberrun.admission.MemoryBudget;
 import umberrun.core.Invocation;
 import umberrun.core.Result;
 import umberrun.stats.Counters;
@@ -14,13 +14,13 @@
 final class ResultResponder {
   private static final long ANSWER_RETRY_MILLIS = 1_000;
 
-  private final AnswerBudget answerBudget;
+  private final MemoryBudget answerBudget;
   private final Counters counters;
 
   /**
    * @param answerBudget limits the results that wait to be sent
    */
-  ResultResponder(AnswerBudget answerBudget, Counters counters) {
+  ResultResponder(MemoryBudget answerBudget, Counters counters) {
     this.answerBudget = answerBudget;
     this.counters = counters;
   }
--- a/src/main/java/umberrun/front/rpc/HeldRequests.java
+++ b/src/main/java/umberrun/front/rpc/HeldRequests.java
@@ -4,7 +4,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import umberrun.admission.InputBudget;
+import umberrun.admission.MemoryBudget;
 import umberrun.core.Request;
 
 /**
@@ -28,10 +28,10 @@
     }
   }
 
-  private final InputBudget budget;
+  private final MemoryBudget budget;
   private final Map<Long, Held> byId = new LinkedHashMap<>();
 
-  HeldRequests(InputBudget budget) {
+  HeldRequests(MemoryBudget budget) {
     this.budget = budget;
   }
 
@@ -58,7 +58,7 @@
   boolean remove(long id) {
     Held held = byId.remove(id);
     if (held != null) {
-      budget.charge(-held.bytes());
+      budget.release(held.bytes());
     }
     return held != null;
   }
--- a/src/main/java/umberrun/front/rpc/RpcConnection.java
+++ b/src/main/java/umberrun/front/rpc/RpcConnection.java
@@ -17,9 +17,6 @@
 final class RpcConnection {
   private static final int MAX_OPEN_REQUESTS = 32;
 
-  /** While more bytes wait to be sent, nothing is read from the client. */
-  private static final int WRITE_QUEUE_BYTES = 64 << 10;
-
   private static final long OVERLOAD_BACKOFF_MILLIS = 100;
   private static final long SHUTDOWN_BACKOFF_MILLIS = 50;
 
@@ -32,9 +29,6 @@
   /** A connection without an open request is closed after this; clients close theirs after 4 s. */
   private static final long IDLE_TIMEOUT_MILLIS = 5_000;
 
-  /** A message of this size or more is written by itself instead of with others. */
-  private static final int MAX_BATCHED_BYTES = 8 << 10;
-
   /**
    * A request that is held for this long is refused: its client sends more than its share of the
    * event loop lets this process read.
@@ -50,16 +44,9 @@
   private final RpcServer server;
   private final NetSocket socket;
   private final ConnectionInput input;
+  private final RpcOutput output;
   private final HeldRequests heldRequests;
 
-  /** Messages that are written together after the current work. */
-  private Buffer outgoing = Buffer.buffer();
-
-  private boolean flushScheduled;
-
-  /** Bytes that wait to be sent, {@link #outgoing} included. */
-  private long queuedBytes;
-
   /** Memory charged for the received part of a message, in bytes. */
   private int chargedPartBytes;
 
@@ -99,9 +86,9 @@
     this.server = server;
     this.socket = socket;
     this.input = ConnectionInput.of(socket);
+    this.output = new RpcOutput(server, socket, input);
     this.heldRequests = new HeldRequests(server.inputBudget());
     this.openedAt = server.now();
-    socket.setWriteQueueMaxSize(WRITE_QUEUE_BYTES);
     socket.handler(this::read);
     socket.closeHandler(v -> close(Count.CLIENTS_CLOSED_BY_PEER));
     socket.exceptionHandler(e -> close(Count.CLIENTS_CLOSED_ERROR));
@@ -113,7 +100,7 @@
    * partly received, and the write queue is not full. Fewer bytes may still wait to be sent.
    */
   boolean isIdle() {
-    return openRequests() == 0 && !decoder.isMidMessage() && !socket.writeQueueFull();
+    return openRequests() == 0 && !decoder.isMidMessage() && !output.isFull();
   }
 
   /** The number of requests that are held or submitted, and not answered. */
@@ -153,7 +140,7 @@
 
   /** Called when the rest of a message was not read in time. */
   private void onRestMissing() {
-    boolean hasArrived = !input.isDrained() && !socket.writeQueueFull();
+    boolean hasArrived = !input.isDrained() && !output.isFull();
     if (hasArrived) {
       awaitsRest = false;
       restartTimeout();
@@ -212,7 +199,7 @@
     if (input.isDrained() && !input.hasEnded()) {
       submitHeld();
     }
-    flush();
+    output.flush();
     chargePart();
     // Before the first complete message, the timeout since connecting keeps running.
     if (hasSentMessage) {
@@ -369,68 +356,10 @@
     }
   }
 
-  /** Sends a message, together with others that are sent soon after. */
   private void write(Buffer message) {
-    if (closed) {
-      return;
+    if (!closed) {
+      output.write(message);
     }
-    server.addQueuedBytes(message.length());
-    queuedBytes += message.length();
-    if (message.length() >= MAX_BATCHED_BYTES) {
-      flush();
-      send(message);
-    } else {
-      outgoing.appendBuffer(message);
-      scheduleFlush();
-    }
-  }
-
-  private void scheduleFlush() {
-    if (!flushScheduled) {
-      flushScheduled = true;
-      server
-          .vertx()
-          .runOnContext(
-              v -> {
-                flushScheduled = false;
-                flush();
-              });
-    }
-  }
-
-  private void flush() {
-    if (outgoing.length() > 0 && !closed) {
-      Buffer messages = outgoing;
-      outgoing = Buffer.buffer();
-      send(messages);
-    }
-  }
-
-  /**
-   * Passes bytes on to the socket. Reading pauses while the client does not receive its answers, so
-   * that they cannot accumulate here.
-   */
-  private void send(Buffer messages) {
-    socket.write(messages).onComplete(v -> onSent(messages.length()));
-    if (isOutputCrowded()) {
-      input.pause();
-    }
-  }
-
-  private void onSent(int bytes) {
-    queuedBytes -= bytes;
-    server.addQueuedBytes(-bytes);
-    if (!isOutputCrowded()) {
-      input.resume();
-    }
-  }
-
-  /**
-   * Whether too much waits to be sent on this connection. Where the answers of all connections
-   * together take much memory, that is so as long as anything waits on it.
-   */
-  private boolean isOutputCrowded() {
-    return socket.writeQueueFull() || queuedBytes > 0 && !server.hasRoomFor(0);
   }
 
   /**
@@ -471,7 +400,7 @@
    * still sends would reset the connection, and the client would lose answers not yet read.
    */
   private void shutDownOutput() {
-    flush();
+    output.flush();
     outputShutDown = true;
     server.counters().add(Count.CLIENT_CONNECTIONS_SHUT_DOWN);
     cancelTimeout();
@@ -507,7 +436,7 @@
     if (closed) {
       return;
     }
-    flush();
+    output.close();
     closed = true;
     cancelTimeout();
     cancelHeldTimer();
--- a/src/main/java/umberrun/front/rpc/RpcServer.java
+++ b/src/main/java/umberrun/front/rpc/RpcServer.java
@@ -13,10 +13,9 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Function;
-import umberrun.admission.AnswerBudget;
 import umberrun.admission.ConnectionLimits;
 import umberrun.admission.ConnectionLimits.Purpose;
-import umberrun.admission.InputBudget;
+import umberrun.admission.MemoryBudget;
 import umberrun.config.Config.SettingNames;
 import umberrun.core.Clock;
 import umberrun.core.DispatchLoop;
@@ -50,8 +49,8 @@
   private final Lifecycle lifecycle;
   private final Clock clock;
   private final ConnectionLimits connectionLimits;
-  private final AnswerBudget answerBudget;
-  private final InputBudget inputBudget;
+  private final MemoryBudget answerBudget;
+  private final MemoryBudget inputBudget;
 
   /** Bytes of answers that wait to be sent to clients. */
   private long queuedBytes;
@@ -84,8 +83,8 @@
       Lifecycle lifecycle,
       Clock clock,
       ConnectionLimits connectionLimits,
-      AnswerBudget answerBudget,
-      InputBudget inputBudget) {
+      MemoryBudget answerBudget,
+      MemoryBudget inputBudget) {
     this.answerBudget = answerBudget;
     this.inputBudget = inputBudget;
     this.vertx = vertx;
@@ -157,7 +156,7 @@
     checkQuiet();
   }
 
-  InputBudget inputBudget() {
+  MemoryBudget inputBudget() {
     return inputBudget;
   }
 
--- a/src/main/java/umberrun/worker/WorkerConnection.java
+++ b/src/main/java/umberrun/worker/WorkerConnection.java
@@ -14,7 +14,7 @@
 import java.util.Map;
 import java.util.Set;
 import saddlestall.Dispatcher.OutcomeCode;
-import umberrun.admission.InputBudget;
+import umberrun.admission.MemoryBudget;
 import umberrun.core.Clock;
 import umberrun.stats.Counters.Count;
 import umberrun.transport.ConnectionInput;
@@ -74,7 +74,7 @@
   private final Clock clock;
   private final Listener listener;
   private final long idleMillis;
-  private final InputBudget replyBudget;
+  private final MemoryBudget replyBudget;
   private final Map<Buffer, PendingCommand> awaitingReply = new HashMap<>();
   private final ArrayDeque<PendingCommand> queued = new ArrayDeque<>();
 
@@ -112,7 +112,7 @@
    * @param replyBudget limits what was received of replies whose rest is missing
    */
   WorkerConnection(
-      Vertx vertx, Clock clock, Listener listener, long idleMillis, InputBudget replyBudget) {
+      Vertx vertx, Clock clock, Listener listener, long idleMillis, MemoryBudget replyBudget) {
     this.replyBudget = replyBudget;
     this.vertx = vertx;
     this.clock = clock;
--- a/src/main/java/umberrun/worker/WorkerPool.java
+++ b/src/main/java/umberrun/worker/WorkerPool.java
@@ -16,7 +16,7 @@
 import saddlestall.Dispatcher.WorkerState;
 import umberrun.admission.ConnectionLimits;
 import umberrun.admission.ConnectionLimits.Purpose;
-import umberrun.admission.InputBudget;
+import umberrun.admission.MemoryBudget;
 import umberrun.config.Config.SettingNames;
 import umberrun.core.Attempt;
 import umberrun.core.Clock;
@@ -59,7 +59,7 @@
   private final Settings settings;
   private final SettingNames names;
   private final ConnectionLimits connectionLimits;
-  private final InputBudget replyBudget;
+  private final MemoryBudget replyBudget;
   private final WorkerLeaseView leases;
   private final Map<Integer, Worker> workers = new HashMap<>();
 
@@ -86,7 +86,7 @@
     this.settings = settings;
     this.names = names;
     this.connectionLimits = connectionLimits;
-    this.replyBudget = new InputBudget(MAX_PARTIAL_REPLY_BYTES, connectionLimits);
+    this.replyBudget = new MemoryBudget(MAX_PARTIAL_REPLY_BYTES, connectionLimits);
     NetClientOptions options = new NetClientOptions().setTcpNoDelay(true);
     // Without a connect timeout, a command that waits for its connection ends at its own deadline.
     if (settings.limits().connectTimeout() > 0) {
--- a/src/test/java/umberrun/Processes.java
+++ b/src/test/java/umberrun/Processes.java
@@ -137,12 +137,7 @@
      * Returns once the old process has ended.
      */
     void upgrade() throws Exception {
-      Process oldProcess = process;
-      operatorPort = freePort();
-      start();
-      awaitReady(operatorPort);
-      // The old process closes the connections of its clients.
-      disturbed = true;
+      Process oldProcess = startSuccessor();
       oldProcess.destroy();
       assertTrue(
           "the old process is still running", oldProcess.waitFor(START_SECONDS, TimeUnit.SECONDS));
@@ -153,14 +148,25 @@
      * earliest time at which a platform may do that.
      */
     void upgradeAndKill() throws Exception {
+      endOrKill(startSuccessor());
+    }
+
+    /** Starts a process beside the one that runs, and returns the latter once both are ready. */
+    private Process startSuccessor() throws Exception {
       Process oldProcess = process;
       operatorPort = freePort();
       start();
       awaitReady(operatorPort);
+      // The old process closes the connections of its clients.
       disturbed = true;
-      oldProcess.destroy();
-      if (!oldProcess.waitFor(MAX_SHUTDOWN_MILLIS, TimeUnit.MILLISECONDS)) {
-        oldProcess.destroyForcibly().waitFor();
+      return oldProcess;
+    }
+
+    /** Tells a process to end, and kills it at the earliest time at which a platform may do so. */
+    private void endOrKill(Process ending) throws Exception {
+      ending.destroy();
+      if (!ending.waitFor(MAX_SHUTDOWN_MILLIS, TimeUnit.MILLISECONDS)) {
+        ending.destroyForcibly().waitFor();
       }
     }
 
@@ -184,10 +190,7 @@
     void restart() throws Exception {
       shutdownSignalAt = System.nanoTime();
       disturbed = true;
-      process.destroy();
-      if (!process.waitFor(MAX_SHUTDOWN_MILLIS, TimeUnit.MILLISECONDS)) {
-        process.destroyForcibly().waitFor();
-      }
+      endOrKill(process);
       start();
       awaitReady(operatorPort);
       shutdownSignalAt = 0;
--- a/src/test/java/umberrun/worker/WorkerPoolTest.java
+++ b/src/test/java/umberrun/worker/WorkerPoolTest.java
@@ -22,7 +22,7 @@
 import saddlestall.benchlink.SettingsJson;
 import umberrun.admission.ConnectionLimits;
 import umberrun.admission.ConnectionLimits.Purpose;
-import umberrun.admission.InputBudget;
+import umberrun.admission.MemoryBudget;
 import umberrun.config.Config.SettingNames;
 import umberrun.core.Clock;
 import umberrun.core.Endpoint;
@@ -116,8 +116,8 @@
    */
   @Test
   public void unsentBytesAreDroppedWhenAConnectionCloses() throws Exception {
-    InputBudget replyBudget =
-        new InputBudget(1 << 20, new ConnectionLimits(1_024, false, false, 0));
+    MemoryBudget replyBudget =
+        new MemoryBudget(1 << 20, new ConnectionLimits(1_024, false, false, 0));
     Vertx vertx = scheduledVertx();
     // More than the operating system buffers for a reader that does not read.
     int bytes = 32 << 20;
