--- a/src/main/java/umberrun/Server.java
+++ b/src/main/java/umberrun/Server.java
@@ -57,6 +57,9 @@
   /** New connections and calls keep arriving for at most this long after SIGTERM. */
   private static final long DRAIN_MILLIS = 700;
 
+  /** Time for the first connection to discovery during the start. */
+  private static final long FIRST_POLL_MILLIS = 50;
+
   /** Interval at which the start checks whether the event loop is still late. */
   private static final long LOOP_CHECK_MILLIS = 10;
 
@@ -458,7 +461,8 @@
         .compose(
             v -> {
               workerListSources.forEach(WorkerListSource::start);
-              return whenKeepingUp();
+              // The first connection to discovery loads many classes; calls would be refused then.
+              return vertx.timer(FIRST_POLL_MILLIS).compose(t -> whenKeepingUp());
             })
         .compose(v -> factsFetched)
         .compose(v -> handover == null ? Future.succeededFuture() : unlessEnding(handover::ready))
--- a/src/main/java/umberrun/stats/EventLoopMeter.java
+++ b/src/main/java/umberrun/stats/EventLoopMeter.java
@@ -86,11 +86,12 @@
     log.accept(
         "event loop: a turn took "
             + TimeUnit.NANOSECONDS.toMillis(nanos)
-            + " ms, "
+            + " ms"
             + (longestOwner == null
                 ? ""
-                : TimeUnit.NANOSECONDS.toMillis(longestNanos)
-                    + " ms for "
+                : ", "
+                    + TimeUnit.NANOSECONDS.toMillis(longestNanos)
+                    + " ms of it for "
                     + longestOwner.describe())
             + (unlogged == 0 ? "" : ", " + unlogged + " more since the last report"));
     unlogged = 0;
