What a part of a message is charged stays right where its own connection is given up

Cause (by reading): a connection that is stopped for want of room while its part is being charged charged itself again before the first change was recorded, so the budget would have counted too little afterwards. The change is recorded first now. Not met by a test: the slow clients of SlowClientsIT stay within the budget.

--- a/src/main/java/umberrun/front/rpc/RpcConnection.java
+++ b/src/main/java/umberrun/front/rpc/RpcConnection.java
@@ -211,8 +211,10 @@
   /** Charges the memory for the received part of a message. */
   private void chargePart() {
     int bytes = closed ? 0 : decoder.bufferedBytes();
-    server.updatePart(this, bytes - chargedPartBytes, bytes > 0);
+    int change = bytes - chargedPartBytes;
+    // Set before the server may stop this connection for want of room, which charges it again.
     chargedPartBytes = bytes;
+    server.updatePart(this, change, bytes > 0);
   }
 
   /** Whether the rest of a message is still awaited, or input is there that is not read yet. */
