At least eight connections read before the event loop goes on to its timers

Cause: in a whole run beside load InvocationHandoverTest.aCallOfAStalledProcessEndsAtItsDeadline failed once: an answer of a worker that had arrived while the process stood still was read after the timer of the call, as the 4 ms of a run of turns were used up by the connection before it. Change: a run takes eight turns in any case.

--- a/src/main/java/umberrun/transport/ReadScheduler.java
+++ b/src/main/java/umberrun/transport/ReadScheduler.java
@@ -17,6 +17,12 @@
   /** Turns are taken for so long before the event loop goes on with its other work. */
   private static final long RUN_NANOS = TimeUnit.MILLISECONDS.toNanos(4);
 
+  /**
+   * So many turns are taken in any case. When few connections have input, all of it is read before
+   * the timers that are due, also by a process that is late.
+   */
+  private static final int MIN_TURNS = 8;
+
   /** Stands for the owner of the connections that this process opens. */
   private static final Object OUTBOUND = new Object();
 
@@ -74,10 +80,12 @@
 
   private void run(EventLoop loop) {
     long startedAt = System.nanoTime();
+    int turns = 0;
     while (!waitingOwners.isEmpty()
-        && System.nanoTime() - startedAt < RUN_NANOS
+        && (turns < MIN_TURNS || System.nanoTime() - startedAt < RUN_NANOS)
         && !backlogged.getAsBoolean()) {
       serveNext();
+      turns++;
     }
     scheduled = !waitingOwners.isEmpty();
     if (scheduled) {
